lease: epochs, claims and leases as pure state machines

An owner, a worker and the row that names the owner, without I/O. A command carries epoch, incarnation, number and the worker's own latest stamp; a claim extends no lease; a restarted worker is claimed only after the row was read again.

Cause for the last rule: a worker that restarted has forgotten its epoch, so an owner that is cut off from the table could claim it again although a successor had claimed the earlier incarnation.

--- /dev/null
+++ b/crates/catkin-lease/src/worker/mod.rs
@@ -0,0 +1,207 @@
+//! The part of a worker that fences owners and keeps leases. Stand-ins run it; real workers have to behave like it.
+
+use crate::message::{
+    Command, Ended, Ending, Refusal, Reply, Report, Request, Running, Seq, Start,
+};
+use catkin_types::{Epoch, Incarnation, Resources, TaskId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A task that runs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Held {
+    /// The size set aside for it.
+    pub size: Resources,
+    /// What runs.
+    pub program: String,
+}
+
+/// A worker's state. A restart makes a new one with another incarnation; nothing is kept on disk.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Worker {
+    incarnation: Incarnation,
+    length: Duration,
+    capacity: Resources,
+    used: Resources,
+    leaving: bool,
+    declined: u64,
+    epoch: Epoch,
+    seq: Seq,
+    until: Duration,
+    tasks: BTreeMap<TaskId, Held>,
+    ended: BTreeMap<TaskId, Ending>,
+}
+
+impl Worker {
+    /// A worker that has just started.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, length: Duration, capacity: Resources) -> Self {
+        Self {
+            incarnation,
+            length,
+            capacity,
+            used: Resources::default(),
+            leaving: false,
+            declined: 0,
+            epoch: 0,
+            seq: 0,
+            until: Duration::ZERO,
+            tasks: BTreeMap::new(),
+            ended: BTreeMap::new(),
+        }
+    }
+
+    /// The tasks that run.
+    #[must_use]
+    pub fn tasks(&self) -> &BTreeMap<TaskId, Held> {
+        &self.tasks
+    }
+
+    /// What it can hold.
+    #[must_use]
+    pub fn capacity(&self) -> Resources {
+        self.capacity
+    }
+
+    /// Changes what it can hold.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.capacity = capacity;
+    }
+
+    /// Sets what its tasks were seen to use.
+    pub fn set_used(&mut self, used: Resources) {
+        self.used = used;
+    }
+
+    /// Sets whether it wants no new work.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// The incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The highest epoch that claimed it.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// The highest number of a request that it took in this epoch.
+    #[must_use]
+    pub fn seq(&self) -> Seq {
+        self.seq
+    }
+
+    /// How many starts it declined because they did not fit.
+    #[must_use]
+    pub fn declined(&self) -> u64 {
+        self.declined
+    }
+
+    /// Ends the task, if it runs.
+    pub fn finish(&mut self, task: TaskId, ending: Ending) {
+        if self.tasks.remove(&task).is_some() {
+            self.ended.insert(task, ending);
+        }
+    }
+
+    /// Ends every task if the lease is over at `now` on the worker's own clock.
+    pub fn lapse(&mut self, now: Duration) {
+        if now < self.until {
+            return;
+        }
+        for (task, _) in std::mem::take(&mut self.tasks) {
+            self.ended.insert(task, Ending::Lapsed);
+        }
+    }
+
+    /// Answers a request at `now` on the worker's own clock.
+    pub fn handle(&mut self, now: Duration, req: &Request) -> Reply {
+        self.lapse(now);
+        let seq = req.seq();
+        let taken = match req {
+            Request::Hello { .. } => return Reply::Hello { seq, incarnation: self.incarnation },
+            Request::Claim { epoch, incarnation, .. } => self.claim(*epoch, *incarnation, seq),
+            Request::Command(c) => self.command(now, c),
+        };
+        match taken {
+            Ok(list) => Reply::Report(self.report(now, seq, list)),
+            Err(why) => Reply::Refused { seq, why },
+        }
+    }
+
+    fn claim(&mut self, epoch: Epoch, incarnation: Incarnation, seq: Seq) -> Result<bool, Refusal> {
+        self.fence(epoch, incarnation, seq)?;
+        self.epoch = epoch;
+        self.seq = seq;
+        Ok(true)
+    }
+
+    fn fence(&self, epoch: Epoch, incarnation: Incarnation, seq: Seq) -> Result<(), Refusal> {
+        if incarnation != self.incarnation {
+            return Err(Refusal::Incarnation(self.incarnation));
+        }
+        if epoch < self.epoch {
+            return Err(Refusal::Epoch(self.epoch));
+        }
+        if epoch == self.epoch && seq <= self.seq {
+            return Err(Refusal::Seq);
+        }
+        Ok(())
+    }
+
+    fn command(&mut self, now: Duration, c: &Command) -> Result<bool, Refusal> {
+        self.fence(c.epoch, c.incarnation, c.seq)?;
+        if c.epoch != self.epoch {
+            // Only a claim raises the epoch: a command before it would start work that the claim never lists.
+            return Err(Refusal::Epoch(self.epoch));
+        }
+        let until = c.stamp.saturating_add(self.length);
+        if until <= now {
+            return Err(Refusal::Stamp);
+        }
+        self.seq = c.seq;
+        self.until = self.until.max(until);
+        for task in &c.acks {
+            self.ended.remove(task);
+        }
+        for task in &c.stops {
+            self.finish(*task, Ending::Stopped);
+        }
+        let declined = self.declined;
+        for s in &c.starts {
+            self.start(s);
+        }
+        Ok(c.list || self.declined > declined)
+    }
+
+    /// Takes a task that fits. A task that does not is told by its absence from the list that the answer has then.
+    fn start(&mut self, s: &Start) {
+        let used =
+            self.tasks.values().fold(Resources::default(), |sum, h| sum.saturating_add(&h.size));
+        let size = Resources::from(s.size);
+        if !used.saturating_add(&size).fits(&self.capacity) {
+            self.declined += 1;
+            return;
+        }
+        self.ended.remove(&s.task);
+        self.tasks.insert(s.task, Held { size, program: s.program.clone() });
+    }
+
+    fn report(&self, now: Duration, seq: Seq, list: bool) -> Report {
+        let running = |(task, h): (&TaskId, &Held)| Running { task: *task, size: h.size.into() };
+        Report {
+            seq,
+            stamp: now,
+            capacity: self.capacity.into(),
+            used: self.used.into(),
+            running: list.then(|| self.tasks.iter().map(running).collect()),
+            ended: self.ended.iter().map(|(t, e)| Ended { task: *t, ending: *e }).collect(),
+            leaving: self.leaving,
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-lease/tests/lease/owner.rs
@@ -0,0 +1,109 @@
+//! Single rules of an owner.
+
+use catkin_lease::Options;
+use catkin_lease::error::Denied;
+use catkin_lease::message::{Ended, Ending, Reply, Report, Request, Running};
+use catkin_lease::owner::{Event, Owner, State};
+use catkin_types::{Resources, TaskId};
+use std::time::Duration;
+
+const T: TaskId = TaskId { job: 1, index: 0 };
+const SIZE: Resources = Resources::new(1, 1, 0);
+
+fn at(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn owner(settle_after: Option<Duration>, workers: &[&str]) -> Owner {
+    let names = workers.iter().map(ToString::to_string);
+    let mut o = Owner::new(Options::default(), 3, (at(0), at(0)), names, settle_after);
+    o.adopt(T, SIZE, settle_after.is_some());
+    o
+}
+
+/// Claims the worker, which reports `running` and `ended`.
+fn claim(o: &mut Owner, worker: &str, running: Vec<Running>, ended: Vec<Ended>) -> Vec<Event> {
+    let worker = worker.to_owned();
+    let (sends, _) = o.poll(at(1));
+    let (_, hello) = sends.iter().find(|(w, _)| *w == worker).expect("a hello");
+    o.receive(at(1), &worker, &Reply::Hello { seq: hello.seq(), incarnation: 9 });
+    assert!(o.wants_confirmation());
+    o.confirm(at(2));
+    let (sends, _) = o.poll(at(2));
+    let (_, req) = sends.iter().find(|(w, _)| *w == worker).expect("a claim");
+    assert!(matches!(req, Request::Claim { epoch: 3, incarnation: 9, .. }));
+    let capacity = Resources::new(2, 2, 0).into();
+    let running = Some(running);
+    let seq = req.seq();
+    let r = Report { seq, stamp: at(500), capacity, running, ended, ..Report::default() };
+    o.receive(at(2), &worker, &Reply::Report(r))
+}
+
+#[test]
+fn an_inherited_task_is_held_until_every_worker_is_heard() {
+    let mut o = owner(Some(at(60)), &["a", "b"]);
+    claim(&mut o, "a", vec![], vec![]);
+    assert_eq!(o.tasks()[&T].state, State::Held);
+    assert_eq!(o.start(T, &"a".into(), String::new()), Err(Denied::NotWaiting(T)));
+}
+
+#[test]
+fn an_inherited_task_waits_once_the_bound_has_passed() {
+    let mut o = owner(Some(at(60)), &["a", "b"]);
+    let (_, events) = o.poll(at(59));
+    assert!(!events.contains(&Event::Settled));
+    let (_, events) = o.poll(at(60));
+    assert!(events.contains(&Event::Settled));
+    assert_eq!(o.tasks()[&T].state, State::Waiting);
+}
+
+#[test]
+fn a_reported_task_stays_where_it_runs() {
+    let mut o = owner(Some(at(60)), &["a", "b"]);
+    claim(&mut o, "a", vec![Running { task: T, size: SIZE.into() }], vec![]);
+    assert_eq!(o.tasks()[&T].state, State::On("a".into()));
+    assert_eq!(o.room(&"a".into()), Some(Resources::new(1, 1, 0)));
+}
+
+#[test]
+fn a_failure_under_an_earlier_term_is_no_proof_that_the_task_runs_nowhere() {
+    let mut o = owner(Some(at(60)), &["a", "b"]);
+    let ended = vec![Ended { task: T, ending: Ending::Failed }];
+    let events = claim(&mut o, "a", vec![], ended);
+    assert_eq!(events, vec![Event::Claimed("a".into())]);
+    assert_eq!(o.tasks()[&T].state, State::Held);
+}
+
+#[test]
+fn an_unknown_running_task_takes_room_and_is_stopped() {
+    let mut o = owner(None, &["a"]);
+    let other = TaskId::new(99, 0);
+    claim(&mut o, "a", vec![Running { task: other, size: SIZE.into() }], vec![]);
+    assert_eq!(o.room(&"a".into()), Some(Resources::new(1, 1, 0)));
+    let (sends, _) = o.poll(at(3));
+    let stops = sends.iter().any(|(_, r)| matches!(r, Request::Command(c) if c.stops == [other]));
+    assert!(stops);
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_the_list() {
+    let mut o = owner(None, &["a"]);
+    claim(&mut o, "a", vec![], vec![]);
+    o.start(T, &"a".into(), String::new()).expect("room");
+    assert_eq!(o.flush(at(2)).len(), 1);
+    let (sends, _) = o.poll(at(4));
+    let Some((_, Request::Command(c))) = sends.first() else { panic!("no command") };
+    assert!(c.list);
+    let capacity = Resources::new(2, 2, 0).into();
+    let r =
+        Report { seq: c.seq, stamp: at(502), capacity, running: Some(vec![]), ..Report::default() };
+    let events = o.receive(at(4), &"a".into(), &Reply::Report(r));
+    assert_eq!(events, vec![Event::Lost { task: T, worker: "a".into() }]);
+}
+
+#[test]
+fn nothing_is_sent_past_the_autonomy() {
+    let mut o = owner(None, &["a"]);
+    let (sends, _) = o.poll(Options::default().autonomy);
+    assert!(sends.is_empty());
+}
--- /dev/null
+++ b/crates/catkin-lease/tests/lease/term.rs
@@ -0,0 +1,37 @@
+//! The durable row of a shard.
+
+use catkin_lease::Options;
+use catkin_lease::term::Term;
+use std::time::Duration;
+
+fn options(autonomy_s: u64) -> Options {
+    let s = Duration::from_secs;
+    Options { length: s(10), autonomy: s(autonomy_s), drift_ppm: 0, ..Options::default() }
+}
+
+#[test]
+fn a_first_term_has_nothing_to_wait_for() {
+    let t = Term::succeed(None, "a", &options(60));
+    assert_eq!((t.epoch, t.settled), (1, true));
+}
+
+#[test]
+fn a_successor_waits_for_autonomy_and_lease() {
+    let t = Term::succeed(None, "a", &options(60));
+    assert_eq!(t.settle_after(&options(60)), Duration::from_secs(70));
+}
+
+#[test]
+fn a_settled_release_leaves_one_lease_to_wait_for() {
+    let t = Term::succeed(None, "a", &options(60));
+    assert_eq!(t.release(true).settle_after(&options(60)), Duration::from_secs(10));
+    assert_eq!(t.release(false).settle_after(&options(60)), Duration::from_secs(70));
+}
+
+#[test]
+fn a_shorter_autonomy_of_a_successor_does_not_hide_the_longer_one_before() {
+    let a = Term::succeed(None, "a", &options(3_600));
+    let b = Term::succeed(Some(&a), "b", &options(5));
+    assert_eq!(b.settle_after(&options(5)), Duration::from_secs(3_610));
+    assert_eq!(b.settle(&options(5)).settle_after(&options(5)), Duration::from_secs(15));
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! temporary
