--- /dev/null
+++ b/crates/catkin-daemon/src/daemon.rs
@@ -0,0 +1,210 @@
+//! Start and stop of a daemon.
+
+use crate::gate::Gate;
+use crate::metrics::Metrics;
+use crate::{Cx, Error, limits, peers, route, scan};
+use catkin_http::server::Drained;
+use catkin_peer::{Link, Options as PeerOptions, Peering};
+use catkin_schema::settings::Settings;
+use catkin_store::{Options as StoreOptions, Store};
+use error_stack::{Report, ResultExt};
+use ractor::{Actor, ActorRef};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// The sockets of a daemon. They may have been opened before, on ports that the system chose.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers and operators.
+    pub http: std::net::TcpListener,
+    /// For other daemons.
+    pub peer: std::net::TcpListener,
+}
+
+impl Listeners {
+    /// Opens the addresses that the settings name.
+    ///
+    /// # Errors
+    /// An address can't be listened on.
+    pub fn open(settings: &Settings) -> Result<Self, Report<Error>> {
+        let open = |addr: &str| {
+            std::net::TcpListener::bind(addr)
+                .change_context(Error::Listen)
+                .attach_with(|| addr.to_owned())
+        };
+        Ok(Self {
+            http: open(&settings.daemon.http_listen)?,
+            peer: open(&settings.daemon.peer_listen)?,
+        })
+    }
+}
+
+/// A running daemon. It joins everything that it started.
+#[derive(Debug)]
+pub struct Daemon {
+    cx: Arc<Cx>,
+    peering: Peering,
+    gate: JoinHandle<Drained>,
+    stop_gate: CancellationToken,
+    serving: JoinHandle<()>,
+    scan: (ActorRef<scan::Message>, JoinHandle<()>),
+    beats: (ActorRef<peers::Message>, JoinHandle<()>),
+    poller: (ActorRef<limits::Message>, JoinHandle<()>),
+    store: JoinHandle<()>,
+}
+
+/// How many calls of peers wait at most.
+const CALL_BACKLOG: usize = 1_024;
+/// How long the last writes and releases may take when the daemon stops.
+const LAST_TASKS: Duration = Duration::from_secs(5);
+
+impl Daemon {
+    /// Starts every part.
+    ///
+    /// # Errors
+    /// A socket or an actor could not be started.
+    pub async fn start(settings: Settings, listeners: Listeners) -> Result<Self, Report<Error>> {
+        let metrics = Metrics::new()?;
+        let (store, store_join) =
+            Store::start(store_options(&settings)).await.change_context(Error::Spawn)?;
+        let (tx, rx) = mpsc::channel(CALL_BACKLOG);
+        let peering = Peering::start(listeners.peer, peer_options(&settings), tx)
+            .change_context(Error::Listen)?;
+        let cx = Cx::new(settings, store, peering.calls.clone(), metrics);
+        observe(&cx, &peering);
+        let serving = tokio::spawn(route::serve(Arc::clone(&cx), rx));
+        let beats = spawn(peers::Beats { cx: Arc::clone(&cx) }).await?;
+        let poller = spawn(limits::Poller { cx: Arc::clone(&cx) }).await?;
+        let scan = spawn(scan::Scan { cx: Arc::clone(&cx) }).await?;
+        listeners.http.set_nonblocking(true).change_context(Error::Listen)?;
+        let listener = TcpListener::from_std(listeners.http).change_context(Error::Listen)?;
+        let stop_gate = CancellationToken::new();
+        let gate = tokio::spawn(Gate::new(Arc::clone(&cx)).serve(listener, stop_gate.clone()));
+        tracing::info!("daemon: {} started", cx.id());
+        Ok(Self { cx, peering, gate, stop_gate, serving, scan, beats, poller, store: store_join })
+    }
+
+    /// The shared part.
+    #[must_use]
+    pub fn cx(&self) -> &Arc<Cx> {
+        &self.cx
+    }
+
+    /// Stops: hands the shards over, ends requests in progress, and joins every part.
+    pub async fn stop(self) -> Drained {
+        tracing::info!("daemon: {} stops", self.cx.id());
+        self.cx.drain();
+        // Peers learn it with the next probe, and take no request to heart that this daemon can't finish.
+        self.tell_peers().await;
+        let (tx, rx) = oneshot::channel();
+        let _ = self.scan.0.send_message(scan::Message::ReleaseAll(tx));
+        let _ = rx.await;
+        self.stop_gate.cancel();
+        let drained = self.gate.await.unwrap_or(Drained::CutOff);
+        self.cx.tasks.close();
+        let _ = tokio::time::timeout(LAST_TASKS, self.cx.tasks.wait()).await;
+        self.scan.0.stop(None);
+        self.beats.0.stop(None);
+        self.poller.0.stop(None);
+        for join in [self.scan.1, self.beats.1, self.poller.1] {
+            let _ = join.await;
+        }
+        self.peering.stop().await;
+        let _ = self.serving.await;
+        self.cx.store.stop();
+        let _ = self.store.await;
+        self.cx.metrics.shutdown();
+        tracing::info!("daemon: {} stopped: {drained:?}", self.cx.id());
+        drained
+    }
+
+    async fn tell_peers(&self) {
+        let beat = peers::own_beat(&self.cx).await;
+        let timeout = Duration::from_millis(self.cx.settings.shards.beat_ms.get());
+        let calls =
+            self.cx.peers().filter_map(|p| p.peer_addr.parse().ok()).map(|addr: SocketAddr| {
+                let beat = catkin_schema::peer::Request::Beat(beat.clone());
+                self.cx.calls.call(addr, beat, timeout)
+            });
+        futures::future::join_all(calls).await;
+    }
+}
+
+async fn spawn<A>(actor: A) -> Result<(ActorRef<A::Msg>, JoinHandle<()>), Report<Error>>
+where
+    A: Actor<Arguments = ()>,
+{
+    Actor::spawn(None, actor, ()).await.change_context(Error::Spawn)
+}
+
+fn store_options(s: &Settings) -> StoreOptions {
+    let p = &s.platform;
+    StoreOptions {
+        table_url: p.table_url.clone(),
+        objects_url: p.objects_url.clone(),
+        hosts_url: p.hosts_url.clone(),
+        timeout: Duration::from_millis(p.timeout_ms.get()),
+        batch: Duration::from_millis(p.batch_ms),
+        max_batch: usize::try_from(p.max_batch.get()).unwrap_or(usize::MAX),
+        ..StoreOptions::default()
+    }
+}
+
+fn peer_options(s: &Settings) -> PeerOptions {
+    let here = &s.daemon;
+    let links = s.peers.iter().filter_map(|p| {
+        let link = match (p.region == here.region, p.zone == here.zone) {
+            (true, true) => Link::Zone,
+            (true, false) => Link::Region,
+            (false, _) => Link::BetweenRegions,
+        };
+        Some((p.peer_addr.parse().ok()?, link))
+    });
+    PeerOptions {
+        id: here.id.clone(),
+        token: s.access.peer_token.clone(),
+        links: links.collect(),
+        ..PeerOptions::default()
+    }
+}
+
+/// Shows counts that other parts keep on the page of metrics.
+fn observe(cx: &Arc<Cx>, peering: &Peering) {
+    for link in [Link::Zone, Link::Region, Link::BetweenRegions] {
+        let counts = peering.traffic.of(link);
+        let label = Some(("link", link.to_string()));
+        let received = Arc::clone(&counts);
+        cx.metrics.observe("catkin_peer_sent_bytes", label.clone(), move || {
+            counts.sent.load(Ordering::Relaxed)
+        });
+        cx.metrics.observe("catkin_peer_received_bytes", label, move || {
+            received.received.load(Ordering::Relaxed)
+        });
+    }
+    let traffic = Arc::clone(cx.workers.traffic());
+    cx.metrics
+        .observe("catkin_worker_sent_bytes", None, move || traffic.sent.load(Ordering::Relaxed));
+    let traffic = Arc::clone(cx.workers.traffic());
+    cx.metrics.observe("catkin_worker_received_bytes", None, move || {
+        traffic.received.load(Ordering::Relaxed)
+    });
+    let traffic = Arc::clone(cx.workers.traffic());
+    cx.metrics
+        .observe("catkin_worker_messages", None, move || traffic.exchanges.load(Ordering::Relaxed));
+    let store = cx.store.clone();
+    cx.metrics.observe("catkin_table_transactions", None, move || {
+        store.counts().transactions.load(Ordering::Relaxed)
+    });
+    let store = cx.store.clone();
+    cx.metrics
+        .observe("catkin_table_rows", None, move || store.counts().rows.load(Ordering::Relaxed));
+    let store = cx.store.clone();
+    cx.metrics
+        .observe("catkin_table_reads", None, move || store.counts().reads.load(Ordering::Relaxed));
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/gate/access.rs
@@ -0,0 +1,63 @@
+//! Who calls, and what they may do.
+
+use super::Failure;
+use catkin_schema::settings::{Access, Role};
+use catkin_types::Code;
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use sha2::{Digest, Sha256};
+use std::fmt::Write;
+use subtle::ConstantTimeEq;
+
+/// A caller or operator whose token was checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// The name of the token.
+    pub name: String,
+    /// Whether it may do what operators do.
+    pub operator: bool,
+    /// The borrower whose work it may see. Empty for an operator, who sees all.
+    pub borrower: String,
+}
+
+impl Caller {
+    /// Whether the caller may see and change work of the borrower.
+    pub(crate) fn may_see(&self, borrower: &str) -> bool {
+        self.operator || self.borrower == borrower
+    }
+
+    pub(crate) fn need_operator(&self) -> Result<(), Failure> {
+        if self.operator { Ok(()) } else { Err(Failure::of(Code::FORBIDDEN)) }
+    }
+}
+
+/// The SHA-256 of bytes, in hexadecimal.
+#[must_use]
+pub fn digest(bytes: &[u8]) -> String {
+    let hash = Sha256::digest(bytes);
+    hash.iter().fold(String::with_capacity(64), |mut out, b| {
+        let _ = write!(out, "{b:02x}");
+        out
+    })
+}
+
+/// Finds the token's holder. Every token is compared, each in constant time.
+pub(super) fn authenticate(access: &Access, headers: &HeaderMap) -> Result<Caller, Failure> {
+    if access.open {
+        return Ok(Caller { name: "anyone".into(), operator: true, borrower: String::new() });
+    }
+    let given = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let token = given.and_then(|v| v.strip_prefix("Bearer "));
+    let Some(token) = token else { return Err(Failure::of(Code::UNAUTHENTICATED)) };
+    let hash = digest(token.as_bytes());
+    let mut found = None;
+    for t in &access.tokens {
+        let same: bool = hash.as_bytes().ct_eq(t.sha256.to_ascii_lowercase().as_bytes()).into();
+        if same {
+            found = Some(t);
+        }
+    }
+    let t = found.ok_or_else(|| Failure::of(Code::UNAUTHENTICATED))?;
+    let operator = matches!(t.role, Role::Operator);
+    Ok(Caller { name: t.name.clone(), operator, borrower: t.borrower.clone() })
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/owner/chunks.rs
@@ -0,0 +1,287 @@
+//! The shard's work as the table has it: reading chunks, recording ends, cancellations.
+
+use super::state::{Loading, Open, State};
+use super::{Loaded, Message, Written};
+use crate::rows::{self, Chunk};
+use catkin_lease::message::Ending;
+use catkin_lease::owner::State as TaskState;
+use catkin_store::hosts::Host;
+use catkin_store::{Error as StoreError, Row, Txn};
+use catkin_types::{JobId, TaskId, WorkerId};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// How often the table is read without a word from a gate.
+const RELOAD: Duration = Duration::from_secs(5);
+/// How soon a read that failed is tried again.
+const RETRY: Duration = Duration::from_millis(250);
+/// How long a write of a chunk may take.
+const WRITE_PATIENCE: Duration = Duration::from_secs(10);
+
+impl State {
+    /// Reads the shard's chunks, cancellations and hosts.
+    pub(super) fn load(&mut self) {
+        if self.loading != Loading::No {
+            self.loading = Loading::Again;
+            return;
+        }
+        self.loading = Loading::Yes;
+        self.load_at = self.cx.now() + RELOAD;
+        let (store, me, shard) = (self.cx.store.clone(), self.me.clone(), self.shard.clone());
+        self.io.spawn(async move {
+            let read = async {
+                // Cancellations first: one that is read after its chunk would be read again with the next load.
+                let cancels = store.rows(&format!("cancel/{shard}/")).await?;
+                let chunks = store.rows(&format!("chunk/{shard}/")).await?;
+                let hosts = store.row(&format!("hosts/{shard}")).await?;
+                Ok(Loaded { chunks, cancels, hosts })
+            };
+            let _ = me.send_message(Message::Loaded(read.await));
+        });
+    }
+
+    pub(super) fn loaded(&mut self, loaded: Result<Loaded, StoreError>) {
+        let again = std::mem::replace(&mut self.loading, Loading::No) == Loading::Again;
+        let loaded = match loaded {
+            Ok(loaded) => loaded,
+            Err(e) => {
+                tracing::debug!("owner: {} could not be read: {e}", self.shard);
+                self.load_at = self.cx.now() + RETRY;
+                return;
+            }
+        };
+        let hosts = loaded.hosts.as_ref().and_then(rows::from_json::<Vec<Host>>);
+        if self.loaded {
+            hosts.unwrap_or_default().into_iter().for_each(|h| self.add_host(h));
+        } else {
+            self.first_hosts(hosts.unwrap_or_default());
+        }
+        for row in &loaded.chunks {
+            if let Some(chunk) = rows::from_json::<Chunk>(row) {
+                self.adopt(chunk, row.version);
+            }
+        }
+        self.loaded = true;
+        self.cancel(&loaded.cancels);
+        if again {
+            self.load();
+        }
+        self.poll();
+        self.pump_soon();
+    }
+
+    /// The hosts of earlier terms have to be settled; hosts that are added later have nothing from before.
+    fn first_hosts(&mut self, hosts: Vec<Host>) {
+        self.lease.inherit_workers(hosts.iter().map(|h| h.id.clone()));
+        for host in hosts {
+            self.add_host(host);
+        }
+    }
+
+    fn adopt(&mut self, chunk: Chunk, version: u64) {
+        let key = (chunk.job_id(), chunk.from);
+        if self.open.contains_key(&key) {
+            return;
+        }
+        let inherited = chunk.epoch < self.lease.epoch();
+        let tasks: Vec<TaskId> = chunk.open().collect();
+        let size = chunk.size;
+        self.open.insert(key, Open { chunk, version, dirty: false, writing: false });
+        for task in tasks {
+            self.lease.adopt(task, size, inherited);
+            self.wait(task);
+        }
+    }
+
+    /// Ends every job in the set, in one pass over the chunks and one over each queue.
+    fn cancel(&mut self, cancels: &[Row]) {
+        let job = |r: &Row| catkin_types::id::parse_job(r.key.rsplit('/').next()?);
+        let jobs: BTreeSet<JobId> = cancels.iter().filter_map(job).collect();
+        if jobs.is_empty() {
+            return;
+        }
+        for lane in self.lanes.values_mut() {
+            lane.retain(|w| !jobs.contains(&w.task.job));
+        }
+        let keys: Vec<_> = self.open.keys().filter(|k| jobs.contains(&k.0)).copied().collect();
+        for key in keys {
+            let Some(open) = self.open.get_mut(&key).filter(|o| !o.chunk.cancelled) else {
+                continue;
+            };
+            open.chunk.cancelled = true;
+            open.dirty = true;
+            let (row, size) = (open.chunk.row.clone(), open.chunk.size);
+            let tasks: Vec<TaskId> = open.chunk.open().collect();
+            for task in tasks {
+                let state = self.lease.remove(task).map(|t| t.state);
+                if matches!(state, Some(TaskState::On(_))) {
+                    self.unhold_size(&row, size);
+                }
+            }
+        }
+        self.write_dirty();
+        self.drop_cancels(cancels, &jobs);
+    }
+
+    /// Removes cancellations whose job has nothing open here.
+    fn drop_cancels(&mut self, cancels: &[Row], jobs: &BTreeSet<JobId>) {
+        let open: BTreeSet<JobId> =
+            self.open.keys().map(|k| k.0).filter(|j| jobs.contains(j)).collect();
+        let mut txn = Txn::default();
+        for row in cancels {
+            let job = row.key.rsplit('/').next().and_then(catkin_types::id::parse_job);
+            if job.is_none_or(|j| !open.contains(&j)) {
+                txn = txn.remove(row.key.clone());
+            }
+        }
+        if !txn.puts.is_empty() {
+            let store = self.cx.store.clone();
+            self.io.spawn(async move { drop(store.commit(txn, WRITE_PATIENCE).await) });
+        }
+    }
+
+    /// Notes the end of a task, or lets it wait for another attempt.
+    pub(super) fn ended(&mut self, task: TaskId, worker: &WorkerId, ending: Ending) {
+        let ok = ending == Ending::Ok;
+        self.health.ended(worker, task.job, ok, self.cx.now());
+        self.sync(worker);
+        let Some((key, size)) = self.chunk_of(task).map(|(k, o)| (*k, o.chunk.size)) else {
+            self.lease.record(task);
+            return;
+        };
+        let attempts = self.attempts.entry(task).or_default();
+        *attempts += 1;
+        let blamed = self.health.job_to_blame(task.job);
+        if !ok && *attempts < self.cx.settings.shards.max_attempts.get() && !blamed {
+            self.lease.record(task);
+            self.lease.adopt(task, size, false);
+            self.wait(task);
+            return;
+        }
+        let reason = if blamed {
+            format!(
+                "it failed on {} workers and succeeded on none",
+                self.health.failed_on(task.job).len()
+            )
+        } else {
+            format!("task {} failed {attempts} times", task.index)
+        };
+        self.attempts.remove(&task);
+        let Some(open) = self.open.get_mut(&key) else { return };
+        let index = task.index - open.chunk.from;
+        open.chunk.ended.set(index);
+        if !ok {
+            open.chunk.failed.set(index);
+            open.chunk.reason = reason;
+        }
+        open.dirty = true;
+    }
+
+    /// Fails every task of a chunk that waits, with a reason.
+    pub(super) fn fail_chunk(&mut self, key: (JobId, u32), reason: &str) {
+        let Some(open) = self.open.get_mut(&key) else { return };
+        let tasks: Vec<TaskId> = open.chunk.open().collect();
+        for task in tasks {
+            let index = task.index - open.chunk.from;
+            open.chunk.ended.set(index);
+            open.chunk.failed.set(index);
+            self.lease.remove(task);
+        }
+        reason.clone_into(&mut open.chunk.reason);
+        open.dirty = true;
+    }
+
+    /// Writes chunks that differ from their rows. Ends share transactions by way of the committing actor.
+    pub(super) fn write_dirty(&mut self) {
+        let due: Vec<_> =
+            self.open.iter().filter(|(_, o)| o.dirty && !o.writing).map(|(k, _)| *k).collect();
+        for key in due {
+            let Some(open) = self.open.get_mut(&key) else { continue };
+            open.dirty = false;
+            open.writing = true;
+            let (chunk, version) = (open.chunk.clone(), open.version);
+            let txn = write(&self.shard, &chunk, version);
+            let (store, me) = (self.cx.store.clone(), self.me.clone());
+            self.io.spawn(async move {
+                let result = store.commit(txn, WRITE_PATIENCE).await;
+                let _ = me.send_message(Message::Written(Box::new(Written { key, chunk, result })));
+            });
+        }
+    }
+
+    pub(super) fn written(&mut self, w: Written) {
+        let Some(open) = self.open.get_mut(&w.key) else { return };
+        open.writing = false;
+        match w.result {
+            Ok(version) => open.version = version,
+            Err(StoreError::Conflict(_)) => {
+                // The row changed under this owner: either a write of its own whose answer was lost, or another term.
+                self.reread(w.key);
+                return;
+            }
+            Err(e) => {
+                tracing::debug!("owner: a chunk of {} was not written: {e}", self.shard);
+                open.dirty = true;
+                return;
+            }
+        }
+        self.recorded(w.key, &w.chunk, w.chunk.complete());
+    }
+
+    /// Reads the version of a chunk's row.
+    fn reread(&mut self, key: (JobId, u32)) {
+        let Some(open) = self.open.get_mut(&key) else { return };
+        open.writing = true;
+        let row = open.chunk.key(&self.shard);
+        let (store, me) = (self.cx.store.clone(), self.me.clone());
+        self.io.spawn(async move {
+            let version = store.row(&row).await.map(|r| r.map(|r| r.version));
+            let _ = me.send_message(Message::Reread(key, version));
+        });
+    }
+
+    /// Takes up the version of a chunk's row, and writes it again if it is still there.
+    pub(super) fn reread_done(
+        &mut self,
+        key: (JobId, u32),
+        version: Result<Option<u64>, StoreError>,
+    ) {
+        let Some(open) = self.open.get_mut(&key) else { return };
+        open.writing = false;
+        open.dirty = true;
+        match version {
+            Ok(Some(version)) => open.version = version,
+            Ok(None) => {
+                // An earlier write of this owner moved it, and its answer was lost.
+                let chunk = open.chunk.clone();
+                self.recorded(key, &chunk, true);
+            }
+            Err(e) => tracing::debug!("owner: a chunk of {} was not read: {e}", self.shard),
+        }
+    }
+
+    /// Notes that the ends in `chunk` are durable.
+    fn recorded(&mut self, key: (JobId, u32), chunk: &Chunk, complete: bool) {
+        let ended = (chunk.from..chunk.to).filter(|i| chunk.ended.get(i - chunk.from));
+        for index in ended {
+            self.lease.record(TaskId::new(key.0, index));
+        }
+        if !complete {
+            return;
+        }
+        self.open.remove(&key);
+        if self.open.range((key.0, 0)..=(key.0, u32::MAX)).next().is_none() {
+            self.health.forget_job(key.0);
+        }
+    }
+}
+
+/// The transaction that writes a chunk. A complete one moves to where the status of jobs is read.
+fn write(shard: &str, chunk: &Chunk, version: u64) -> Txn {
+    let key = chunk.key(shard);
+    let txn = Txn::default().check(&key, version);
+    if chunk.complete() {
+        return txn.remove(key).put(chunk.ended_key(), rows::to_json(chunk));
+    }
+    txn.put(key, rows::to_json(chunk))
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/owner/pump.rs
@@ -0,0 +1,306 @@
+//! Placing what waits: rows in order of what they are owed, gangs whole, a bounded amount of work at a time.
+
+use super::state::{State, Waiting};
+use catkin_lease::owner::State as TaskState;
+use catkin_place::gang::{self, Fit};
+use catkin_place::{Ask, Outcome};
+use catkin_share::fill::{Claim, shares};
+use catkin_share::order::{Standing, compare};
+use catkin_share::preempt::{Candidate, choose};
+use catkin_types::{JobId, Resources, Row, RowName, TaskId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// How many tasks are placed in one turn of the actor.
+const MAX_PER_TURN: usize = 512;
+/// How long a row that is owed more waits before others' tasks are stopped for it, and between two such rounds.
+const PREEMPT_EVERY: Duration = Duration::from_millis(500);
+
+impl State {
+    /// Places what waits and fits.
+    pub(super) fn pump(&mut self) {
+        let now = self.cx.now();
+        if !self.loaded || !self.lease.may_act(now) || self.lanes.values().all(VecDeque::is_empty) {
+            return;
+        }
+        let Some(table) = self.cx.table() else { return };
+        let total = self.shelf.capacity();
+        let share = self.shares(&total, |name| table.get(name).cloned());
+        let mut blocked: BTreeSet<RowName> = BTreeSet::new();
+        let mut placed = 0;
+        while placed < MAX_PER_TURN {
+            let Some(name) = self.next_row(&total, &share, &blocked, |n| table.get(n)) else {
+                break;
+            };
+            let Some(row) = table.get(&name) else {
+                blocked.insert(name);
+                continue;
+            };
+            match self.place_next(row, now) {
+                0 => drop(blocked.insert(name)),
+                n => placed += n,
+            }
+        }
+        if placed >= MAX_PER_TURN {
+            self.pump_soon();
+        } else if now >= self.preempt_at {
+            self.preempt_at = now + PREEMPT_EVERY;
+            self.preempt(&share, &blocked, |name| table.get(name).cloned());
+        }
+        let sends = self.lease.flush(now);
+        self.send(sends);
+    }
+
+    /// The fair share of each row that holds or wants something.
+    fn shares(
+        &self,
+        total: &Resources,
+        row: impl Fn(&str) -> Option<Row>,
+    ) -> BTreeMap<RowName, Resources> {
+        let mut names: BTreeSet<&RowName> = self.held.keys().collect();
+        names.extend(self.lanes.iter().filter(|(_, l)| !l.is_empty()).map(|(n, _)| n));
+        let mut rows = Vec::new();
+        let mut claims = Vec::new();
+        for name in names {
+            let Some(row) = row(name) else { continue };
+            claims.push(Claim {
+                weight: row.weight,
+                demand: self.demand(name),
+                guaranteed: row.guaranteed,
+                limit: row.limit,
+            });
+            rows.push(name.clone());
+        }
+        rows.into_iter().zip(shares(total, &claims)).collect()
+    }
+
+    /// What the row's running and waiting tasks take together. Waiting ones count at the size of the first.
+    fn demand(&self, name: &str) -> Resources {
+        let held = self.held.get(name).copied().unwrap_or_default();
+        let Some(lane) = self.lanes.get(name) else { return held };
+        let first = lane.front().and_then(|w| self.chunk_of(w.task)).map(|(_, o)| o.chunk.size);
+        held.saturating_add(&first.unwrap_or_default().times(lane.len() as u64))
+    }
+
+    fn next_row<'a>(
+        &self,
+        total: &Resources,
+        share: &BTreeMap<RowName, Resources>,
+        blocked: &BTreeSet<RowName>,
+        row: impl Fn(&str) -> Option<&'a Row>,
+    ) -> Option<RowName> {
+        let waiting = self.lanes.iter().filter(|(n, l)| !l.is_empty() && !blocked.contains(*n));
+        let standing = |name: &RowName| {
+            let row = row(name)?;
+            let held = self.held.get(name).copied().unwrap_or_default();
+            Some(Standing { row, held, share: share.get(name).copied().unwrap_or_default() })
+        };
+        let known = waiting.filter_map(|(n, _)| Some((n, standing(n)?)));
+        known.min_by(|a, b| compare(total, &a.1, &b.1)).map(|(n, _)| n.clone())
+    }
+
+    /// Places the row's first task or gang. Returns how many tasks were placed; 0 if the row has to wait.
+    fn place_next(&mut self, row: &Row, now: Duration) -> usize {
+        let Some(first) = self.lanes.get(&row.name).and_then(|l| l.front().copied()) else {
+            return 0;
+        };
+        if self.lease.tasks().get(&first.task).is_none_or(|t| t.state != TaskState::Waiting) {
+            // It was removed or runs: nothing is left to place.
+            self.lanes.entry(row.name.clone()).or_default().pop_front();
+            return 1;
+        }
+        let Some((key, size, gang)) =
+            self.chunk_of(first.task).map(|(k, o)| (*k, o.chunk.size, o.chunk.gang))
+        else {
+            return 0;
+        };
+        if gang && self.whole_gang_waits(key) {
+            self.place_gang(row, key, size, now)
+        } else {
+            self.place_one(row, first, key, size, now)
+        }
+    }
+
+    /// Whether a row may hold `more` on top.
+    fn within_limit(&self, row: &Row, size: Resources, n: u64) -> bool {
+        let held = self.held.get(&row.name).copied().unwrap_or_default();
+        let running = self.running.get(&row.name).copied().unwrap_or_default();
+        let after = held.saturating_add(&size.times(n));
+        let over = |after: u64, limit: u64| limit > 0 && after > limit;
+        let (a, l) = (after.as_array(), row.limit.as_array());
+        !(0..3).any(|i| over(a[i], l[i])) && !over(running + n, row.max_running)
+    }
+
+    fn place_one(
+        &mut self,
+        row: &Row,
+        first: Waiting,
+        key: (JobId, u32),
+        size: Resources,
+        now: Duration,
+    ) -> usize {
+        if !self.within_limit(row, size, 1) {
+            return 0;
+        }
+        match self.shelf.choose(&Ask::of(size)) {
+            Outcome::On(i) => {
+                let worker = self.shelf.host(i).id.clone();
+                if !self.start(row, first.task, &worker, size, now.saturating_sub(first.since)) {
+                    // The shelf was behind the lease machine, whose word counts.
+                    self.sync(&worker);
+                    return 0;
+                }
+                self.lanes.entry(row.name.clone()).or_default().pop_front();
+                1
+            }
+            Outcome::Never if self.all_claimed() => {
+                self.drop_waiting(&row.name, key);
+                self.fail_chunk(key, "no worker of the shard can ever hold a task of that size");
+                1
+            }
+            Outcome::Later | Outcome::Never => 0,
+        }
+    }
+
+    fn start(
+        &mut self,
+        row: &Row,
+        task: TaskId,
+        worker: &str,
+        size: Resources,
+        waited: Duration,
+    ) -> bool {
+        let Some(program) = self.chunk_of(task).map(|(_, o)| o.chunk.program.clone()) else {
+            return false;
+        };
+        let worker = worker.to_owned();
+        if let Err(e) = self.lease.start(task, &worker, program) {
+            tracing::debug!("owner: {e}");
+            return false;
+        }
+        self.hold(&row.name, size);
+        self.sync(&worker);
+        self.cx.metrics.placed(&row.name);
+        self.cx.metrics.waited(&row.name, waited);
+        true
+    }
+
+    /// Whether no task of the chunk has started. After that, tasks that were lost start again one by one.
+    fn whole_gang_waits(&self, key: (JobId, u32)) -> bool {
+        let Some(open) = self.open.get(&key) else { return false };
+        let waits =
+            |t: TaskId| self.lease.tasks().get(&t).is_some_and(|x| x.state == TaskState::Waiting);
+        open.chunk.ended.count() == 0 && open.chunk.open().all(waits)
+    }
+
+    fn place_gang(
+        &mut self,
+        row: &Row,
+        key: (JobId, u32),
+        size: Resources,
+        now: Duration,
+    ) -> usize {
+        let Some(open) = self.open.get(&key) else { return 0 };
+        let tasks: Vec<TaskId> = open.chunk.open().collect();
+        if !self.within_limit(row, size, tasks.len() as u64) {
+            return 0;
+        }
+        let mut trial = self.shelf.clone();
+        match gang::place(&mut trial, &vec![size; tasks.len()]) {
+            Fit::All(hosts) => {
+                let since = self.drop_waiting(&row.name, key).unwrap_or(now);
+                let workers: Vec<_> = hosts.iter().map(|i| trial.host(*i).id.clone()).collect();
+                for (task, worker) in tasks.iter().zip(workers) {
+                    if !self.start(row, *task, &worker, size, now.saturating_sub(since)) {
+                        self.wait(*task);
+                    }
+                }
+                tasks.len()
+            }
+            Fit::Never if self.all_claimed() => {
+                self.drop_waiting(&row.name, key);
+                self.fail_chunk(key, "the workers of the shard can never hold the whole gang");
+                1
+            }
+            Fit::Later | Fit::Never => 0,
+        }
+    }
+
+    /// Takes a chunk's tasks out of the queue. Returns since when the first has waited.
+    fn drop_waiting(&mut self, row: &RowName, key: (JobId, u32)) -> Option<Duration> {
+        let to = self.open.get(&key).map_or(u32::MAX, |o| o.chunk.to);
+        let of_chunk = |w: &Waiting| w.task.job == key.0 && (key.1..to).contains(&w.task.index);
+        let lane = self.lanes.get_mut(row)?;
+        let since = lane.iter().find(|w| of_chunk(w)).map(|w| w.since);
+        lane.retain(|w| !of_chunk(w));
+        since
+    }
+
+    /// Whether every worker told its capacity, so that "never" can be said.
+    fn all_claimed(&self) -> bool {
+        !self.hosts.is_empty() && self.lease.workers().all(|w| self.lease.capacity(w).is_some())
+    }
+
+    /// Stops tasks of rows above their share for the first blocked row that is below its own.
+    fn preempt(
+        &mut self,
+        share: &BTreeMap<RowName, Resources>,
+        blocked: &BTreeSet<RowName>,
+        row: impl Fn(&str) -> Option<Row>,
+    ) {
+        let held = |name: &RowName| self.held.get(name).copied().unwrap_or_default();
+        let owed = |name: &&RowName| {
+            let share = share.get(*name).copied().unwrap_or_default();
+            let next = self.next_need(name).map(|size| held(name).saturating_add(&size));
+            next.is_some_and(|next| next.fits(&share))
+        };
+        let Some(name) = blocked.iter().find(owed).cloned() else { return };
+        let Some(need) = self.next_need(&name) else { return };
+        let excess: BTreeMap<RowName, Resources> = self
+            .held
+            .keys()
+            .filter(|n| **n != name && row(n).is_some_and(|r| r.preemptible))
+            .map(|n| {
+                (n.clone(), held(n).saturating_sub(&share.get(n).copied().unwrap_or_default()))
+            })
+            .collect();
+        for worker in self.hosts.keys().cloned().collect::<Vec<_>>() {
+            let Some(room) = self.lease.room(&worker) else { continue };
+            let victims = choose(
+                &need.saturating_sub(&room),
+                &self.candidates(&worker),
+                &excess,
+                Duration::MAX,
+            );
+            if victims.is_empty() {
+                continue;
+            }
+            for (task, _) in victims {
+                tracing::info!("owner: task {task} gives way to row {name}");
+                self.lease.stop(task);
+            }
+            return;
+        }
+    }
+
+    /// What the row's first task takes.
+    fn next_need(&self, name: &str) -> Option<Resources> {
+        let first = self.lanes.get(name)?.front()?;
+        self.chunk_of(first.task).map(|(_, o)| o.chunk.size)
+    }
+
+    fn candidates(&self, worker: &str) -> Vec<Candidate> {
+        let tasks = self.lease.tasks_on(&worker.to_owned()).into_iter();
+        let candidate = |task: TaskId| {
+            let (_, open) = self.chunk_of(task)?;
+            Some(Candidate {
+                task,
+                row: open.chunk.row.clone(),
+                size: open.chunk.size,
+                unsaved: Duration::from_secs(1),
+                checkpoints: false,
+            })
+        };
+        tasks.filter_map(candidate).collect()
+    }
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/owner/state.rs
@@ -0,0 +1,286 @@
+//! What an owner of workers knows.
+
+use super::{Begin, Message, leaving};
+use crate::Cx;
+use crate::rows::Chunk;
+use catkin_lease::owner::{Event, Owner, State as TaskState};
+use catkin_place::health::{Fleet, Standing};
+use catkin_place::{Host as Place, Shelf};
+use catkin_store::hosts::Host;
+use catkin_types::{JobId, Resources, RowName, ShardId, TaskId, WorkerId};
+use ractor::ActorRef;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// A chunk of this shard that is not complete.
+#[derive(Debug)]
+pub(super) struct Open {
+    pub chunk: Chunk,
+    pub version: u64,
+    /// It differs from its row.
+    pub dirty: bool,
+    /// A write of it is on its way.
+    pub writing: bool,
+}
+
+/// Whether the shard's work is being read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Loading {
+    No,
+    Yes,
+    /// It has to be read once more after that.
+    Again,
+}
+
+/// A task that waits for a place.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub task: TaskId,
+    pub since: Duration,
+}
+
+/// The owner's state.
+#[derive(Debug)]
+pub struct State {
+    pub(super) cx: Arc<Cx>,
+    pub(super) me: ActorRef<Message>,
+    pub(super) shard: ShardId,
+    pub(super) lease: Owner,
+    /// The shard's work was read in this term.
+    pub(super) loaded: bool,
+    pub(super) loading: Loading,
+    pub(super) shelf: Shelf,
+    pub(super) hosts: BTreeMap<WorkerId, Host>,
+    pub(super) leaving: BTreeSet<WorkerId>,
+    pub(super) open: BTreeMap<(JobId, u32), Open>,
+    pub(super) lanes: BTreeMap<RowName, VecDeque<Waiting>>,
+    pub(super) held: BTreeMap<RowName, Resources>,
+    pub(super) running: BTreeMap<RowName, u64>,
+    pub(super) attempts: HashMap<TaskId, u64>,
+    pub(super) health: Fleet,
+    pub(super) io: JoinSet<()>,
+    pub(super) pump_due: bool,
+    pub(super) preempt_at: Duration,
+    pub(super) load_at: Duration,
+}
+
+/// The allowance on what was seen in use, for the lag of reports: a tenth.
+const OBSERVED_MARGIN: u64 = 10;
+
+impl State {
+    pub(super) fn new(cx: Arc<Cx>, me: ActorRef<Message>, begin: Begin) -> Self {
+        let epoch = begin.entry.shard.term.epoch;
+        let lease = Owner::new(cx.lease(), epoch, begin.times, [], begin.settle_after);
+        Self {
+            cx,
+            me,
+            shard: begin.shard,
+            lease,
+            loaded: false,
+            loading: Loading::No,
+            shelf: Shelf::default(),
+            hosts: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            open: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            held: BTreeMap::new(),
+            running: BTreeMap::new(),
+            attempts: HashMap::new(),
+            health: Fleet::new(catkin_place::health::Options::default()),
+            io: JoinSet::new(),
+            pump_due: false,
+            preempt_at: Duration::ZERO,
+            load_at: Duration::ZERO,
+        }
+    }
+
+    pub(super) fn tick(&mut self) {
+        while self.io.try_join_next().is_some() {}
+        let settings = &self.cx.settings.shards;
+        let period = Duration::from_millis(settings.tick_ms.get());
+        self.me.send_after(period, || Message::Tick);
+        if self.cx.now() >= self.load_at {
+            self.load();
+        }
+        self.poll();
+        self.write_dirty();
+        self.pump();
+    }
+
+    /// Ends leases that are over and sends what is due. Nothing is claimed before the shard's work was read, so that
+    /// no running task looks unknown.
+    pub(super) fn poll(&mut self) {
+        if !self.loaded {
+            return;
+        }
+        let (sends, events) = self.lease.poll(self.cx.now());
+        self.events(events);
+        self.send(sends);
+    }
+
+    pub(super) fn pump_soon(&mut self) {
+        if !self.pump_due {
+            self.pump_due = true;
+            let _ = self.me.send_message(Message::Pump);
+        }
+    }
+
+    pub(super) fn events(&mut self, events: Vec<Event>) {
+        let claimed = events.iter().any(|e| matches!(e, Event::Claimed(_)));
+        for event in events {
+            match event {
+                Event::Claimed(worker) | Event::Leaving(worker) => self.sync(&worker),
+                Event::Gone(worker) => {
+                    tracing::warn!("owner: worker {worker} of {} is gone", self.shard);
+                    self.sync(&worker);
+                }
+                Event::Lost { task, worker } => {
+                    self.sync(&worker);
+                    self.unhold(task);
+                    if let Some(row) = self.row_of(task) {
+                        self.cx.metrics.task_lost(&row);
+                    }
+                    self.wait(task);
+                }
+                Event::Ended { task, worker, ending } => {
+                    self.sync(&worker);
+                    self.unhold(task);
+                    self.ended(task, &worker, ending);
+                }
+                Event::Settled => {
+                    tracing::info!("owner: every worker of {} is settled", self.shard);
+                    self.settled();
+                }
+                Event::Deposed => tracing::warn!("owner: {} has another owner", self.shard),
+            }
+            self.pump_soon();
+        }
+        if claimed {
+            self.recount();
+        }
+    }
+
+    /// Counts anew what each row holds, after a claim has shown what runs on a worker.
+    fn recount(&mut self) {
+        self.held.clear();
+        self.running.clear();
+        let runs = |(t, task): (&TaskId, &catkin_lease::owner::Task)| {
+            matches!(task.state, TaskState::On(_)).then_some((*t, task.size))
+        };
+        let running: Vec<_> = self.lease.tasks().iter().filter_map(runs).collect();
+        for (task, size) in running {
+            if let Some(row) = self.row_of(task) {
+                self.hold(&row, size);
+            }
+        }
+    }
+
+    /// Tasks that were held wait now.
+    fn settled(&mut self) {
+        let queued: BTreeSet<TaskId> = self.lanes.values().flatten().map(|w| w.task).collect();
+        let waits = |(t, task): (&TaskId, &catkin_lease::owner::Task)| {
+            (task.state == TaskState::Waiting && !queued.contains(t)).then_some(*t)
+        };
+        let tasks: Vec<TaskId> = self.lease.tasks().iter().filter_map(waits).collect();
+        for task in tasks {
+            self.wait(task);
+        }
+    }
+
+    /// Lets a task wait for a place, if it has none.
+    pub(super) fn wait(&mut self, task: TaskId) {
+        if self.lease.tasks().get(&task).is_none_or(|t| t.state != TaskState::Waiting) {
+            return;
+        }
+        let Some(row) = self.row_of(task) else { return };
+        let since = self.cx.now();
+        self.lanes.entry(row).or_default().push_back(Waiting { task, since });
+    }
+
+    pub(super) fn chunk_of(&self, task: TaskId) -> Option<(&(JobId, u32), &Open)> {
+        let last = self.open.range(..=(task.job, task.index)).next_back()?;
+        (last.0.0 == task.job && task.index < last.1.chunk.to).then_some(last)
+    }
+
+    pub(super) fn row_of(&self, task: TaskId) -> Option<RowName> {
+        Some(self.chunk_of(task)?.1.chunk.row.clone())
+    }
+
+    /// Counts what a row's task takes.
+    pub(super) fn hold(&mut self, row: &RowName, size: Resources) {
+        let held = self.held.entry(row.clone()).or_default();
+        *held = held.saturating_add(&size);
+        *self.running.entry(row.clone()).or_default() += 1;
+    }
+
+    fn unhold(&mut self, task: TaskId) {
+        let Some((row, size)) =
+            self.chunk_of(task).map(|(_, o)| (o.chunk.row.clone(), o.chunk.size))
+        else {
+            return;
+        };
+        self.unhold_size(&row, size);
+    }
+
+    pub(super) fn unhold_size(&mut self, row: &RowName, size: Resources) {
+        if let Some(held) = self.held.get_mut(row) {
+            *held = held.saturating_sub(&size);
+        }
+        if let Some(n) = self.running.get_mut(row) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
+    /// Brings the shelf's view of a worker up to date.
+    pub(super) fn sync(&mut self, worker: &WorkerId) {
+        let capacity = self.lease.capacity(worker).unwrap_or_default();
+        let room = self.lease.room(worker);
+        let observed = self.lease.observed(worker).unwrap_or_default();
+        let margin =
+            Resources::from_array(observed.as_array().map(|x| x.div_ceil(OBSERVED_MARGIN)));
+        let standing = self.health.standing(worker, self.cx.now());
+        let empty = self.lease.tasks_on(worker).is_empty();
+        let trusted = match standing {
+            Standing::Good => true,
+            Standing::Probation => empty,
+            Standing::Quarantined => false,
+        };
+        self.shelf.put(Place {
+            id: worker.clone(),
+            rack: self.hosts.get(worker).map(|h| h.rack.clone()).unwrap_or_default(),
+            capacity,
+            declared: capacity.saturating_sub(&room.unwrap_or_default()),
+            observed: observed.saturating_add(&margin),
+            open: room.is_some() && trusted && !self.leaving.contains(worker),
+        });
+    }
+
+    /// Takes up what the platform's list says of the shard's hosts.
+    pub(super) fn hosts(&mut self, hosts: &[Host]) {
+        let now: BTreeSet<&str> = leaving(hosts);
+        let changed: Vec<WorkerId> = self
+            .hosts
+            .keys()
+            .filter(|w| self.leaving.contains(*w) != now.contains(w.as_str()))
+            .cloned()
+            .collect();
+        for worker in changed {
+            if !self.leaving.remove(&worker) {
+                self.leaving.insert(worker.clone());
+            }
+            self.sync(&worker);
+        }
+    }
+
+    /// Takes up a host of the shard.
+    pub(super) fn add_host(&mut self, host: Host) {
+        let worker = host.id.clone();
+        if self.hosts.insert(worker.clone(), host).is_none() {
+            self.health.add(&worker);
+            self.lease.add_worker(worker.clone());
+            self.sync(&worker);
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/owner/wire.rs
@@ -0,0 +1,40 @@
+//! Exchanges with workers.
+
+use super::Message;
+use super::state::State;
+use catkin_lease::message::{Reply, Request};
+use catkin_types::WorkerId;
+use hyper::Method;
+
+impl State {
+    /// Sends requests. One without an answer is left to the time-out of the lease machine.
+    pub(super) fn send(&mut self, sends: Vec<(WorkerId, Request)>) {
+        let timeout = self.cx.lease().timeout;
+        for (worker, req) in sends {
+            let Some(host) = self.hosts.get(&worker) else { continue };
+            let url = format!("http://{}/v1/lease", host.addr);
+            let (http, me) = (self.cx.workers.clone(), self.me.clone());
+            self.io.spawn(async move {
+                match http.json::<_, Reply>(Method::POST, &url, &req, timeout).await {
+                    Ok(reply) => drop(me.send_message(Message::Reply(worker, req, reply))),
+                    Err(e) => tracing::debug!("owner: worker {worker}: {e}"),
+                }
+            });
+        }
+    }
+
+    pub(super) fn reply(&mut self, worker: &WorkerId, req: &Request, reply: &Reply) {
+        let now = self.cx.now();
+        if let Reply::Refused { why, .. } = reply {
+            tracing::debug!("owner: worker {worker} refused {}: {why}", req.seq());
+        }
+        let events = self.lease.receive(now, worker, reply);
+        self.events(events);
+        if let Reply::Report(_) = reply {
+            self.sync(worker);
+            self.pump_soon();
+        }
+        let sends = self.lease.flush(now);
+        self.send(sends);
+    }
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/peers/mod.rs
@@ -0,0 +1,202 @@
+//! Which daemons are alive: direct probes, which also carry versions and aggregates of shards.
+
+use crate::Cx;
+use crate::cx::Local;
+use crate::{limits, owner, slots};
+use catkin_schema::peer::{Aggregate, Beat, Request, Response};
+use catkin_schema::settings::Settings;
+use catkin_types::{DaemonId, ShardId};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+/// What was heard of one daemon.
+#[derive(Clone, Debug, Default)]
+struct Heard {
+    at: Option<Duration>,
+    beat: Beat,
+}
+
+/// What was heard of every daemon.
+#[derive(Debug)]
+pub struct Live {
+    me: DaemonId,
+    suspect: Duration,
+    region: String,
+    regions: BTreeMap<DaemonId, String>,
+    heard: Mutex<BTreeMap<DaemonId, Heard>>,
+}
+
+/// Probes of other regions are this many times rarer, and patience with them as much longer.
+const FAR_FACTOR: u32 = 4;
+
+impl Live {
+    /// Nothing heard so far.
+    #[must_use]
+    pub fn new(s: &Settings) -> Self {
+        let regions = s.peers.iter().map(|p| (p.id.clone(), p.region.clone())).collect();
+        Self {
+            me: s.daemon.id.clone(),
+            suspect: Duration::from_millis(s.shards.suspect_ms.get()),
+            region: s.daemon.region.clone(),
+            regions,
+            heard: Mutex::default(),
+        }
+    }
+
+    /// Notes what a daemon said of itself at `now`.
+    pub fn heard(&self, beat: Beat, now: Duration) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.insert(beat.daemon.clone(), Heard { at: Some(now), beat });
+    }
+
+    fn patience(&self, id: &str) -> Duration {
+        let near = self.regions.get(id).is_none_or(|r| *r == self.region);
+        if near { self.suspect } else { self.suspect * FAR_FACTOR }
+    }
+
+    /// Whether the daemon was heard lately.
+    #[must_use]
+    pub fn alive(&self, id: &str, now: Duration) -> bool {
+        if id == self.me {
+            return true;
+        }
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = heard.get(id).and_then(|h| h.at);
+        at.is_some_and(|at| now.saturating_sub(at) < self.patience(id))
+    }
+
+    /// Whether the daemon can take shards: it was heard lately and is not stopping.
+    #[must_use]
+    pub fn takes_shards(&self, id: &str, now: Duration) -> bool {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let draining = heard.get(id).is_some_and(|h| h.beat.draining);
+        drop(heard);
+        !draining && self.alive(id, now)
+    }
+
+    /// What the owner of a shard said of it last.
+    #[must_use]
+    pub fn aggregate(&self, shard: &str) -> Option<Aggregate> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let all = heard.values().flat_map(|h| &h.beat.shards);
+        all.filter(|a| a.shard == shard).max_by_key(|a| a.epoch).cloned()
+    }
+
+    /// The version of the table of weights and limits of each daemon that was ever heard, and whether it is alive.
+    #[must_use]
+    pub fn versions(&self, now: Duration) -> Vec<(DaemonId, u64, bool)> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let all: Vec<_> = heard.iter().map(|(id, h)| (id.clone(), h.beat.limits_version)).collect();
+        drop(heard);
+        all.into_iter().map(|(id, v)| (id.clone(), v, self.alive(&id, now))).collect()
+    }
+}
+
+/// What this daemon says of itself.
+pub async fn own_beat(cx: &Cx) -> Beat {
+    let mut shards = Vec::new();
+    for (shard, local) in cx.locals() {
+        shards.extend(aggregate(&shard, &local).await);
+    }
+    Beat {
+        daemon: cx.id().to_owned(),
+        incarnation: cx.incarnation,
+        limits_version: cx.limits.borrow().version(),
+        draining: cx.draining(),
+        shards,
+    }
+}
+
+/// How long an owner may take to describe its shard.
+const DESCRIBE: Duration = Duration::from_millis(200);
+
+async fn aggregate(shard: &ShardId, local: &Local) -> Option<Aggregate> {
+    let (tx, rx) = oneshot::channel();
+    match local {
+        Local::Workers(a) => a.send_message(owner::Message::Describe(tx)).ok()?,
+        Local::Slots(a) => a.send_message(slots::Message::Describe(tx)).ok()?,
+    }
+    let mut aggregate = tokio::time::timeout(DESCRIBE, rx).await.ok()?.ok()?;
+    aggregate.shard.clone_from(shard);
+    Some(aggregate)
+}
+
+/// Probes the peers.
+pub struct Beats {
+    /// The shared part.
+    pub cx: Arc<Cx>,
+}
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum Message {
+    /// It is time to probe.
+    Tick,
+}
+
+/// Where the actor is.
+#[derive(Debug, Default)]
+pub struct Round {
+    n: u32,
+    probes: JoinSet<()>,
+}
+
+impl Actor for Beats {
+    type Msg = Message;
+    type State = Round;
+    type Arguments = ();
+
+    async fn pre_start(&self, me: ActorRef<Message>, (): ()) -> Result<Round, ActorProcessingErr> {
+        me.send_message(Message::Tick)?;
+        Ok(Round::default())
+    }
+
+    async fn handle(
+        &self,
+        me: ActorRef<Message>,
+        Message::Tick: Message,
+        round: &mut Round,
+    ) -> Result<(), ActorProcessingErr> {
+        let period = Duration::from_millis(self.cx.settings.shards.beat_ms.get());
+        while round.probes.try_join_next().is_some() {}
+        let beat = own_beat(&self.cx).await;
+        self.cx.live.heard(beat.clone(), self.cx.now());
+        for peer in self.cx.peers() {
+            let near = peer.region == self.cx.settings.daemon.region;
+            if !near && !round.n.is_multiple_of(FAR_FACTOR) {
+                continue;
+            }
+            let Ok(addr) = peer.peer_addr.parse() else { continue };
+            let timeout = if near { period * 2 } else { period * 2 * FAR_FACTOR };
+            round.probes.spawn(probe(Arc::clone(&self.cx), addr, beat.clone(), timeout));
+        }
+        round.n = round.n.wrapping_add(1);
+        me.send_after(period, || Message::Tick);
+        Ok(())
+    }
+
+    async fn post_stop(
+        &self,
+        _: ActorRef<Message>,
+        round: &mut Round,
+    ) -> Result<(), ActorProcessingErr> {
+        round.probes.shutdown().await;
+        Ok(())
+    }
+}
+
+async fn probe(cx: Arc<Cx>, addr: SocketAddr, beat: Beat, timeout: Duration) {
+    let answer = cx.calls.call(addr, Request::Beat(beat), timeout).await;
+    if let Ok(Response::Beat(theirs)) = answer {
+        let newer = theirs.limits_version > cx.limits.borrow().version();
+        cx.live.heard(theirs, cx.now());
+        if newer {
+            limits::pull(&cx, addr).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/route/mod.rs
@@ -0,0 +1,130 @@
+//! Calls to the owner of a shard, here or at a peer.
+
+use crate::cx::Local;
+use crate::{Cx, limits, owner, peers, slots};
+use catkin_peer::{Error as CallError, Incoming};
+use catkin_schema::peer::{Refused, Request, Response};
+use catkin_types::{Code, ShardId};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Calls the owner of `shard`.
+///
+/// # Errors
+/// [`CallError::NotSent`] if the call certainly had no effect, [`CallError::Lost`] otherwise.
+pub async fn call(
+    cx: &Arc<Cx>,
+    shard: &str,
+    req: Request,
+    timeout: Duration,
+) -> Result<Response, CallError> {
+    if cx.local(shard).is_some() {
+        return match tokio::time::timeout(timeout, answer(cx, req)).await {
+            Ok(res) => Ok(res),
+            Err(_) => Err(CallError::Lost(format!("no answer within {} ms", timeout.as_millis()))),
+        };
+    }
+    let directory = cx.directory.borrow().clone();
+    let owner = directory.get(shard).map(|e| e.shard.term.owner.clone());
+    let addr = owner.as_deref().filter(|o| *o != cx.id()).and_then(|o| cx.peer_addr(o));
+    let addr =
+        addr.ok_or_else(|| CallError::NotSent(format!("shard {shard} has no known owner")))?;
+    cx.calls.call(addr, req, timeout).await
+}
+
+/// A refusal.
+#[must_use]
+pub fn refused(code: Code, message: &str) -> Response {
+    Response::Refused(Refused {
+        code: code.number(),
+        retry_after: Duration::from_millis(200),
+        message: message.to_owned(),
+    })
+}
+
+fn not_owner(shard: &ShardId) -> Response {
+    refused(Code::NO_OWNER, &format!("shard {shard} is not owned here"))
+}
+
+/// Answers a call, of a peer or of this daemon's own gate.
+pub async fn answer(cx: &Arc<Cx>, req: Request) -> Response {
+    match req {
+        Request::Beat(beat) => {
+            cx.live.heard(beat, cx.now());
+            Response::Beat(peers::own_beat(cx).await)
+        }
+        Request::PushLimits(json) => Response::Version(limits::pushed(cx, &json)),
+        Request::PullLimits(version) => Response::Limits(limits::newer_than(cx, version)),
+        Request::Acquire(x) => {
+            let shard = x.shard.clone();
+            ask_slots(cx, &shard, |tx| slots::Message::Acquire(x, tx)).await
+        }
+        Request::Release(x) => {
+            let shard = x.shard.clone();
+            ask_slots(cx, &shard, |tx| slots::Message::Release(x, tx)).await
+        }
+        Request::Offer { shard, .. } | Request::Cancel { shard, .. } => {
+            ask_owner(cx, &shard, owner::Message::Offer).await
+        }
+        Request::JobStatus(job) => every_owner(cx, |tx| owner::Message::Status(job, tx)).await,
+        Request::Explain(job) => every_owner(cx, |tx| owner::Message::Explain(job, tx)).await,
+        Request::Workers(shard) => ask_owner(cx, &shard, owner::Message::Workers).await,
+    }
+}
+
+async fn ask_slots(
+    cx: &Cx,
+    shard: &ShardId,
+    msg: impl FnOnce(oneshot::Sender<Response>) -> slots::Message,
+) -> Response {
+    let (tx, rx) = oneshot::channel();
+    let Some(Local::Slots(actor)) = cx.local(shard) else { return not_owner(shard) };
+    if actor.send_message(msg(tx)).is_err() {
+        return not_owner(shard);
+    }
+    rx.await.unwrap_or_else(|_| not_owner(shard))
+}
+
+async fn ask_owner(
+    cx: &Cx,
+    shard: &ShardId,
+    msg: impl FnOnce(oneshot::Sender<Response>) -> owner::Message,
+) -> Response {
+    let (tx, rx) = oneshot::channel();
+    let Some(Local::Workers(actor)) = cx.local(shard) else { return not_owner(shard) };
+    if actor.send_message(msg(tx)).is_err() {
+        return not_owner(shard);
+    }
+    rx.await.unwrap_or_else(|_| not_owner(shard))
+}
+
+/// Asks every owner of workers in this daemon, and joins their answers to one list.
+async fn every_owner(
+    cx: &Cx,
+    msg: impl Fn(oneshot::Sender<Response>) -> owner::Message,
+) -> Response {
+    let mut out: Vec<serde_json::Value> = Vec::new();
+    for (_, local) in cx.locals() {
+        let Local::Workers(actor) = local else { continue };
+        let (tx, rx) = oneshot::channel();
+        if actor.send_message(msg(tx)).is_err() {
+            continue;
+        }
+        if let Ok(Response::Text(json)) = rx.await {
+            out.extend(serde_json::from_slice::<Vec<serde_json::Value>>(&json).unwrap_or_default());
+        }
+    }
+    Response::Text(serde_json::to_vec(&out).unwrap_or_default())
+}
+
+/// Answers calls of peers until the channel closes.
+pub async fn serve(cx: Arc<Cx>, mut rx: mpsc::Receiver<Incoming>) {
+    while let Some(incoming) = rx.recv().await {
+        let cx = Arc::clone(&cx);
+        cx.tasks.clone().spawn(async move {
+            let res = answer(&cx, incoming.req).await;
+            let _ = incoming.tx.send(res);
+        });
+    }
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/scan/assign.rs
@@ -0,0 +1,127 @@
+//! Putting hosts into shards. A host stays in its shard for good, so that its epoch only grows.
+
+use super::{Scan, State};
+use crate::rows::{self, Shard, shard_id};
+use catkin_lease::term::Term;
+use catkin_store::hosts::{Host, Kind};
+use catkin_store::{Row, Txn};
+use catkin_types::ShardId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Which hosts are in which shard, as far as this daemon knows.
+#[derive(Debug, Default)]
+pub(super) struct Assigned {
+    known: BTreeSet<String>,
+    lists: BTreeMap<ShardId, (u64, Vec<Host>)>,
+}
+
+impl Assigned {
+    /// The hosts of a shard.
+    pub fn of(&self, shard: &str) -> Vec<Host> {
+        self.lists.get(shard).map(|(_, l)| l.clone()).unwrap_or_default()
+    }
+
+    fn read(&mut self, rows: &[Row]) {
+        for row in rows {
+            let Some(list) = rows::from_json::<Vec<Host>>(row) else { continue };
+            self.known.extend(list.iter().map(|h| h.id.clone()));
+            let shard = row.key.trim_start_matches("hosts/").to_owned();
+            self.lists.insert(shard, (row.version, list));
+        }
+    }
+}
+
+type Group = (String, Kind, String);
+
+const PATIENCE: Duration = Duration::from_secs(3);
+
+impl Scan {
+    /// Puts hosts of this region that are in no shard into one with room, or into a new one.
+    pub(super) async fn assign(&self, s: &mut State, hosts: &[Host]) {
+        let region = &self.cx.settings.daemon.region;
+        let here = |h: &&Host| h.region == *region || self.proper_for_region(&h.region);
+        let fresh = |s: &State| -> Vec<Host> {
+            hosts
+                .iter()
+                .filter(here)
+                .filter(|h| !s.assigned.known.contains(&h.id))
+                .cloned()
+                .collect()
+        };
+        let unknown = fresh(s);
+        if unknown.is_empty() {
+            return;
+        }
+        let regions: BTreeSet<&String> = unknown.iter().map(|h| &h.region).collect();
+        for region in regions {
+            match self.cx.store.rows(&format!("hosts/{region}/")).await {
+                Ok(rows) => s.assigned.read(&rows),
+                Err(_) => return,
+            }
+        }
+        let mut groups: BTreeMap<String, (Group, Vec<Host>)> = BTreeMap::new();
+        for host in fresh(s) {
+            let name = shard_id(&host.region, &host.zone, host.kind, &host.service, 0);
+            let group = (host.zone.clone(), host.kind, host.service.clone());
+            groups.entry(name).or_insert_with(|| (group, Vec::new())).1.push(host);
+        }
+        for (first, (group, hosts)) in groups {
+            let region = hosts.first().map(|h| h.region.clone()).unwrap_or_default();
+            if self.proper(&first, &region) == self.cx.id() && !self.cx.draining() {
+                self.fill(s, &region, &group, hosts).await;
+            }
+        }
+    }
+
+    /// Whether this daemon stands in for a region without live daemons.
+    fn proper_for_region(&self, region: &str) -> bool {
+        let now = self.cx.now();
+        !self.cx.peers().any(|p| p.region == region && self.cx.live.takes_shards(&p.id, now))
+    }
+
+    async fn fill(&self, s: &mut State, region: &str, group: &Group, mut hosts: Vec<Host>) {
+        let max = usize::try_from(self.cx.settings.shards.max_workers.get()).unwrap_or(usize::MAX);
+        let (zone, kind, service) = group;
+        for n in 0.. {
+            if hosts.is_empty() {
+                return;
+            }
+            let id = shard_id(region, zone, *kind, service, n);
+            let (version, mut list) = s.assigned.lists.get(&id).cloned().unwrap_or_default();
+            let room = max.saturating_sub(list.len()).min(hosts.len());
+            if room == 0 {
+                continue;
+            }
+            list.extend(hosts.drain(..room));
+            if !self.write_list(s, &id, version, list, region, *kind, service).await {
+                return;
+            }
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one row and what it is made of")]
+    async fn write_list(
+        &self,
+        s: &mut State,
+        id: &ShardId,
+        version: u64,
+        list: Vec<Host>,
+        region: &str,
+        kind: Kind,
+        service: &str,
+    ) -> bool {
+        let key = format!("hosts/{id}");
+        let txn = Txn::default().check(&key, version).put(&key, rows::to_json(&list));
+        let Ok(version) = self.cx.store.commit(txn, PATIENCE).await else { return false };
+        tracing::info!("scan: shard {id} has {} hosts", list.len());
+        s.assigned.known.extend(list.iter().map(|h| h.id.clone()));
+        s.assigned.lists.insert(id.clone(), (version, list));
+        if !self.cx.directory.borrow().contains_key(id) {
+            let term = Term::succeed(None, self.cx.id(), &self.cx.lease());
+            let (region, service) = (region.to_owned(), service.to_owned());
+            self.begin(s, id, Shard { term, region, kind, service }, 0, None).await;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/scan/mod.rs
@@ -0,0 +1,233 @@
+//! Shards and their owners: reads the directory, takes over what has no live owner, hands over what belongs to another
+//! daemon, and puts new hosts into shards.
+
+mod assign;
+mod takeover;
+
+use crate::cx::{Directory, Entry, Local};
+use crate::rows::{self, Shard};
+use crate::{Cx, owner, slots};
+use catkin_store::hosts::Host;
+use catkin_types::ShardId;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum Message {
+    /// It is time to read.
+    Tick,
+    /// Releases every shard; the answer comes when all are released, as far as the table answered.
+    ReleaseAll(oneshot::Sender<()>),
+}
+
+/// The actor.
+pub struct Scan {
+    /// The shared part.
+    pub cx: Arc<Cx>,
+}
+
+/// Where the actor is.
+#[derive(Default)]
+pub struct State {
+    round: u32,
+    joins: BTreeMap<ShardId, JoinHandle<()>>,
+    assigned: assign::Assigned,
+    last_move: Duration,
+    released: bool,
+}
+
+/// Shards of other regions are read once in so many rounds.
+const FAR_ROUNDS: u32 = 8;
+/// How long after its start a daemon waits for its peers' first answers before it takes anything over.
+const SETTLE_IN: Duration = Duration::from_millis(300);
+/// At most one shard is handed over to its proper daemon in this time.
+const MOVE_EVERY: Duration = Duration::from_secs(5);
+
+impl Actor for Scan {
+    type Msg = Message;
+    type State = State;
+    type Arguments = ();
+
+    async fn pre_start(&self, me: ActorRef<Message>, (): ()) -> Result<State, ActorProcessingErr> {
+        me.send_after(SETTLE_IN, || Message::Tick);
+        Ok(State::default())
+    }
+
+    async fn handle(
+        &self,
+        me: ActorRef<Message>,
+        msg: Message,
+        s: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match msg {
+            Message::Tick => {
+                self.round(s).await;
+                let period = Duration::from_millis(self.cx.settings.shards.scan_ms.get());
+                me.send_after(period, || Message::Tick);
+            }
+            Message::ReleaseAll(tx) => {
+                s.released = true;
+                for (shard, local) in self.cx.locals() {
+                    self.release(&shard, &local).await;
+                    self.stop(s, &shard, &local).await;
+                }
+                let _ = tx.send(());
+            }
+        }
+        Ok(())
+    }
+
+    async fn post_stop(
+        &self,
+        _: ActorRef<Message>,
+        s: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        for (shard, local) in self.cx.locals() {
+            self.stop(s, &shard, &local).await;
+        }
+        Ok(())
+    }
+}
+
+impl Scan {
+    async fn round(&self, s: &mut State) {
+        let far = s.round.is_multiple_of(FAR_ROUNDS);
+        s.round = s.round.wrapping_add(1);
+        let asked = self.cx.now();
+        let prefix = if far {
+            "shard/".to_owned()
+        } else {
+            format!("shard/{}/", self.cx.settings.daemon.region)
+        };
+        match self.cx.store.rows(&prefix).await {
+            Ok(list) => self.read(s, &prefix, &list, asked).await,
+            Err(e) => tracing::debug!("scan: shards could not be read: {e}"),
+        }
+        match self.cx.store.hosts().await {
+            Ok(hosts) => self.hosts(s, Arc::new(hosts)).await,
+            Err(e) => tracing::debug!("scan: the host list could not be read: {e}"),
+        }
+    }
+
+    /// Takes up the rows of shards, which were asked for at `asked`.
+    async fn read(&self, s: &mut State, prefix: &str, list: &[catkin_store::Row], asked: Duration) {
+        let mut directory = Directory::clone(&self.cx.directory.borrow());
+        directory.retain(|shard, _| !format!("shard/{shard}").starts_with(prefix));
+        for row in list {
+            let Some(shard) = rows::from_json::<Shard>(row) else { continue };
+            let id = row.key.trim_start_matches("shard/").to_owned();
+            directory.insert(id, Entry { shard, version: row.version });
+        }
+        let directory = Arc::new(directory);
+        self.cx.directory.send_replace(Arc::clone(&directory));
+        for (id, entry) in
+            directory.iter().filter(|(id, _)| format!("shard/{id}").starts_with(prefix))
+        {
+            self.look_at(s, id, entry, asked).await;
+        }
+    }
+
+    async fn look_at(&self, s: &mut State, id: &ShardId, entry: &Entry, asked: Duration) {
+        let term = &entry.shard.term;
+        let mine = term.owner == self.cx.id() && !term.released;
+        match self.cx.local(id) {
+            Some(local) if mine => {
+                if let Local::Workers(actor) = &local {
+                    let _ = actor.send_message(owner::Message::Confirm(asked));
+                }
+                self.balance(s, id, entry, &local).await;
+            }
+            Some(local) => {
+                tracing::warn!("scan: shard {id} is owned by {} now", term.owner);
+                if let Local::Workers(actor) = &local {
+                    let _ = actor.send_message(owner::Message::Depose);
+                }
+                self.stop(s, id, &local).await;
+            }
+            None => {
+                // A row that names this daemon without a term here is one of its own former life.
+                let orphan =
+                    term.released || mine || !self.cx.live.alive(&term.owner, self.cx.now());
+                if orphan
+                    && !s.released
+                    && !self.cx.draining()
+                    && self.proper(id, &entry.shard.region) == self.cx.id()
+                {
+                    self.take_over(s, id, Some(entry)).await;
+                }
+            }
+        }
+    }
+
+    /// The daemon that a shard belongs to: the highest hash of name and shard among live daemons of the region, or
+    /// of all regions if it has none.
+    pub(crate) fn proper(&self, id: &str, region: &str) -> String {
+        let now = self.cx.now();
+        let me = std::iter::once((self.cx.id(), self.cx.settings.daemon.region.as_str()));
+        let peers = self.cx.peers().map(|p| (p.id.as_str(), p.region.as_str()));
+        let live: Vec<_> = me
+            .filter(|_| !self.cx.draining())
+            .chain(peers.filter(|(p, _)| self.cx.live.takes_shards(p, now)))
+            .collect();
+        let near: Vec<_> = live.iter().filter(|(_, r)| *r == region).copied().collect();
+        let among = if near.is_empty() { live } else { near };
+        let best = among.into_iter().max_by_key(|(daemon, _)| rank(daemon, id));
+        best.map(|(daemon, _)| daemon.to_owned()).unwrap_or_default()
+    }
+
+    /// Hands a shard over to the daemon that it belongs to, one at a time.
+    async fn balance(&self, s: &mut State, id: &ShardId, entry: &Entry, local: &Local) {
+        let now = self.cx.now();
+        if now.saturating_sub(s.last_move) < MOVE_EVERY || self.cx.draining() {
+            return;
+        }
+        let proper = self.proper(id, &entry.shard.region);
+        if proper.is_empty() || proper == self.cx.id() {
+            return;
+        }
+        s.last_move = now;
+        tracing::info!("scan: shard {id} goes to {proper}");
+        self.release(id, local).await;
+        self.stop(s, id, local).await;
+    }
+
+    async fn stop(&self, s: &mut State, id: &ShardId, local: &Local) {
+        self.cx.set_local(id, None);
+        match local {
+            Local::Workers(actor) => actor.stop(None),
+            Local::Slots(actor) => actor.stop(None),
+        }
+        if let Some(join) = s.joins.remove(id) {
+            let _ = join.await;
+        }
+    }
+
+    async fn hosts(&self, s: &mut State, hosts: Arc<Vec<Host>>) {
+        self.assign(s, &hosts).await;
+        for (shard, local) in self.cx.locals() {
+            match local {
+                Local::Workers(actor) => {
+                    drop(actor.send_message(owner::Message::Hosts(Arc::clone(&hosts))));
+                }
+                Local::Slots(actor) => {
+                    let own = s.assigned.of(&shard);
+                    drop(actor.send_message(slots::Message::Hosts(Arc::clone(&hosts), own)));
+                }
+            }
+        }
+    }
+}
+
+fn rank(daemon: &str, shard: &str) -> [u8; 32] {
+    let mut h = Sha256::new();
+    h.update(daemon.as_bytes());
+    h.update([0]);
+    h.update(shard.as_bytes());
+    h.finalize().into()
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/scan/takeover.rs
@@ -0,0 +1,125 @@
+//! Beginning and ending a term.
+
+use super::{Scan, State};
+use crate::cx::{Entry, Local};
+use crate::rows::{self, Shard};
+use crate::{owner, slots};
+use catkin_lease::term::Term;
+use catkin_store::hosts::{Host, Kind};
+use catkin_store::{Error as StoreError, Txn};
+use catkin_types::ShardId;
+use ractor::Actor;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// How long the compare-and-set of a row may take.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// How long an owner may take to end its term.
+const RELEASE: Duration = Duration::from_secs(1);
+
+impl Scan {
+    /// Begins a term of a shard that has a row, or of a new one.
+    pub(super) async fn take_over(&self, s: &mut State, id: &ShardId, previous: Option<&Entry>) {
+        let Some(template) = previous.map(|p| p.shard.clone()) else { return };
+        let term = Term::succeed(previous.map(|p| &p.shard.term), self.cx.id(), &self.cx.lease());
+        let shard = Shard { term, ..template };
+        let settle_after = previous.map(|p| p.shard.term.settle_after(&self.cx.lease()));
+        self.begin(s, id, shard, previous.map_or(0, |p| p.version), settle_after).await;
+    }
+
+    /// Writes the row and starts the owner.
+    pub(super) async fn begin(
+        &self,
+        s: &mut State,
+        id: &ShardId,
+        shard: Shard,
+        version: u64,
+        settle_after: Option<Duration>,
+    ) {
+        let key = format!("shard/{id}");
+        let txn = Txn::default().check(&key, version).put(&key, rows::to_json(&shard));
+        let asked = self.cx.now();
+        let version = match self.cx.store.commit(txn, PATIENCE).await {
+            Ok(version) => version,
+            Err(StoreError::Conflict(_)) => return,
+            Err(e) => {
+                tracing::warn!("scan: shard {id} could not be taken over: {e}");
+                return;
+            }
+        };
+        let now = self.cx.now();
+        tracing::info!("scan: shard {id} taken over in term {}", shard.term.epoch);
+        self.cx.metrics.takeover();
+        let entry = Entry { shard, version };
+        self.cx.directory.send_modify(|d| {
+            Arc::make_mut(d).insert(id.clone(), entry.clone());
+        });
+        let started = match entry.shard.kind {
+            Kind::Worker => self.start_workers(id, entry, (asked, now), settle_after).await,
+            Kind::Executor => self.start_slots(id, &entry).await,
+        };
+        match started {
+            Ok((local, join)) => {
+                self.cx.set_local(id, Some(local));
+                s.joins.insert(id.clone(), join);
+            }
+            Err(e) => tracing::error!("scan: the owner of {id} did not start: {e}"),
+        }
+    }
+
+    async fn start_workers(
+        &self,
+        id: &ShardId,
+        entry: Entry,
+        times: (Duration, Duration),
+        settle_after: Option<Duration>,
+    ) -> Result<(Local, tokio::task::JoinHandle<()>), ractor::SpawnErr> {
+        let begin = owner::Begin { shard: id.clone(), entry, times, settle_after };
+        let (actor, join) =
+            Actor::spawn(None, owner::Workers { cx: Arc::clone(&self.cx) }, begin).await?;
+        Ok((Local::Workers(actor), join))
+    }
+
+    async fn start_slots(
+        &self,
+        id: &ShardId,
+        entry: &Entry,
+    ) -> Result<(Local, tokio::task::JoinHandle<()>), ractor::SpawnErr> {
+        let hosts = self.hosts_of(id).await.unwrap_or_default();
+        let begin = slots::Begin { shard: id.clone(), epoch: entry.shard.term.epoch, hosts };
+        let (actor, join) =
+            Actor::spawn(None, slots::Slots { cx: Arc::clone(&self.cx) }, begin).await?;
+        Ok((Local::Slots(actor), join))
+    }
+
+    /// The hosts of a shard, by its durable list.
+    pub(super) async fn hosts_of(&self, id: &str) -> Result<Vec<Host>, StoreError> {
+        let row = self.cx.store.row(&format!("hosts/{id}")).await?;
+        Ok(row.as_ref().and_then(rows::from_json::<Vec<Host>>).unwrap_or_default())
+    }
+
+    /// Ends the term: the owner sends nothing more, then the row says so.
+    pub(super) async fn release(&self, id: &ShardId, local: &Local) {
+        let settled = match local {
+            Local::Workers(actor) => {
+                let (tx, rx) = oneshot::channel();
+                let _ = actor.send_message(owner::Message::Release(tx));
+                matches!(tokio::time::timeout(RELEASE, rx).await, Ok(Ok(true)))
+            }
+            Local::Slots(_) => true,
+        };
+        let directory = self.cx.directory.borrow().clone();
+        let Some(entry) = directory.get(id).filter(|e| e.shard.term.owner == self.cx.id()) else {
+            return;
+        };
+        let term = entry.shard.term.release(settled);
+        let shard = Shard { term, ..entry.shard.clone() };
+        let key = format!("shard/{id}");
+        let txn = Txn::default().check(&key, entry.version).put(&key, rows::to_json(&shard));
+        match self.cx.store.commit(txn, PATIENCE).await {
+            Ok(_) => tracing::info!("scan: shard {id} released"),
+            Err(e) => tracing::warn!("scan: shard {id} was not released: {e}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-daemon/src/slots/mod.rs
@@ -0,0 +1,232 @@
+//! The owner of a shard of executors: counts their slots and gives them to gates, rows in fair order.
+//!
+//! An executor refuses what it has no slot for, before it runs anything. So a new owner that does not know which slots
+//! are taken is slower for a moment and never wrong.
+
+mod executors;
+
+use crate::Cx;
+use crate::route::refused;
+use catkin_queue::{Options, Queue, Rejected};
+use catkin_schema::peer::{Acquire, Aggregate, Permit, Refused, Release, Response};
+use catkin_store::hosts::Host;
+use catkin_types::{Code, Epoch, Resources, Row, RowName, ShardId};
+use executors::Executors;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// What an owner of executors is told.
+#[derive(Debug)]
+pub enum Message {
+    /// It is time to look at waits and permits that are over.
+    Tick,
+    /// A gate wants a slot.
+    Acquire(Acquire, oneshot::Sender<Response>),
+    /// A gate gives a slot back.
+    Release(Release, oneshot::Sender<Response>),
+    /// The host list was read, with the hosts of the shard.
+    Hosts(Arc<Vec<Host>>, Vec<Host>),
+    /// Asks for the aggregate.
+    Describe(oneshot::Sender<Aggregate>),
+}
+
+struct Waiter {
+    tx: oneshot::Sender<Response>,
+    since: Duration,
+}
+
+struct Granted {
+    executor: String,
+    row: RowName,
+    expires: Duration,
+}
+
+/// The owner's state.
+pub struct State {
+    shard: ShardId,
+    epoch: Epoch,
+    executors: Executors,
+    queue: Queue<Waiter>,
+    granted: HashMap<u64, Granted>,
+    running: BTreeMap<RowName, u64>,
+    next_id: u64,
+}
+
+/// How a term begins.
+#[derive(Debug)]
+pub struct Begin {
+    /// The shard.
+    pub shard: ShardId,
+    /// The term.
+    pub epoch: Epoch,
+    /// The executors.
+    pub hosts: Vec<Host>,
+}
+
+/// The actor.
+pub struct Slots {
+    /// The shared part.
+    pub cx: Arc<Cx>,
+}
+
+/// How often waits and permits are looked at.
+const TICK: Duration = Duration::from_millis(20);
+/// How much longer a permit lasts than the longest request.
+const PERMIT_MARGIN: Duration = Duration::from_secs(5);
+
+impl Actor for Slots {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Begin;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<Message>,
+        begin: Begin,
+    ) -> Result<State, ActorProcessingErr> {
+        let mut executors = Executors::default();
+        executors.update(&begin.hosts, &[]);
+        me.send_message(Message::Tick)?;
+        Ok(State {
+            shard: begin.shard,
+            epoch: begin.epoch,
+            executors,
+            queue: Queue::new(Options::default()),
+            granted: HashMap::new(),
+            running: BTreeMap::new(),
+            // Numbers of different terms differ, so that a slot of an earlier term is not given back in this one.
+            next_id: begin.epoch << 32,
+        })
+    }
+
+    async fn handle(
+        &self,
+        me: ActorRef<Message>,
+        msg: Message,
+        s: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = self.cx.now();
+        match msg {
+            Message::Tick => {
+                s.expire(now);
+                self.dispatch(s, now);
+                me.send_after(TICK, || Message::Tick);
+            }
+            Message::Acquire(req, tx) => {
+                self.acquire(s, &req, tx, now);
+                self.dispatch(s, now);
+            }
+            Message::Release(req, tx) => {
+                s.release(&req, now);
+                self.dispatch(s, now);
+                let _ = tx.send(Response::Done);
+            }
+            Message::Hosts(list, own) => {
+                s.executors.update(&own, &list);
+                self.dispatch(s, now);
+            }
+            Message::Describe(tx) => drop(tx.send(s.describe())),
+        }
+        Ok(())
+    }
+}
+
+impl Slots {
+    fn acquire(&self, s: &mut State, req: &Acquire, tx: oneshot::Sender<Response>, now: Duration) {
+        let Some(row) = self.cx.row(&req.row) else {
+            let _ = tx.send(refused(Code::UNKNOWN_ROW, "the row is not in the table"));
+            return;
+        };
+        if !s.executors.any_usable(now) {
+            let _ = tx.send(refused(Code::NO_TARGET, "no executor of the shard takes requests"));
+            return;
+        }
+        let max_wait_ms =
+            row.max_wait_ms.min(u64::try_from(req.wait.as_millis()).unwrap_or(u64::MAX));
+        let row = Row { max_wait_ms, ..row };
+        let (waiter, rejection) = (Waiter { tx, since: now }, s.queue.probe(&row));
+        match rejection {
+            Some(rejected) => drop(waiter.tx.send(rejection_of(&rejected))),
+            None => drop(s.queue.offer(&row, waiter, now)),
+        }
+    }
+
+    /// Gives free slots to those whose turn it is.
+    fn dispatch(&self, s: &mut State, now: Duration) {
+        while let Some(executor) = s.executors.pick(now) {
+            let running = &s.running;
+            let below = |name: &RowName| match self.cx.row(name) {
+                Some(row) if row.max_running > 0 => {
+                    running.get(name).copied().unwrap_or_default() < row.max_running
+                }
+                Some(_) => true,
+                None => false,
+            };
+            let Some((name, waiter)) = s.queue.take(now, below) else { return };
+            if waiter.tx.is_closed() {
+                continue;
+            }
+            self.cx.metrics.waited(&name, now.saturating_sub(waiter.since));
+            self.grant(s, executor, name, waiter, now);
+        }
+    }
+
+    fn grant(&self, s: &mut State, executor: usize, row: RowName, waiter: Waiter, now: Duration) {
+        let longest =
+            Duration::from_millis(self.cx.settings.gate.request_timeout_ms.get()) + PERMIT_MARGIN;
+        s.next_id += 1;
+        let id = s.next_id;
+        let (name, target) = s.executors.take(executor);
+        *s.running.entry(row.clone()).or_default() += 1;
+        s.granted.insert(id, Granted { executor: name, row, expires: now + longest });
+        let permit = Response::Permit(Permit { id, target, expires: longest });
+        if waiter.tx.send(permit).is_err() {
+            s.give_back(id);
+        }
+    }
+}
+
+impl State {
+    fn release(&mut self, req: &Release, now: Duration) {
+        let Some(granted) = self.granted.get(&req.id) else { return };
+        self.executors.health(&granted.executor, req.healthy, now);
+        self.give_back(req.id);
+    }
+
+    fn give_back(&mut self, id: u64) {
+        let Some(granted) = self.granted.remove(&id) else { return };
+        self.executors.give_back(&granted.executor);
+        if let Some(n) = self.running.get_mut(&granted.row) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
+    fn expire(&mut self, now: Duration) {
+        for (_, waiter) in self.queue.expire(now) {
+            let _ = waiter.tx.send(refused(Code::WAIT_TOO_LONG, "no slot came free in time"));
+        }
+        let over: Vec<u64> =
+            self.granted.iter().filter(|(_, g)| g.expires <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            self.give_back(id);
+        }
+    }
+
+    fn describe(&self) -> Aggregate {
+        Aggregate {
+            shard: self.shard.clone(),
+            epoch: self.epoch,
+            free: Resources::new(self.executors.free(), 0, 0),
+            waiting: self.queue.len() as u64,
+            largest: Resources::new(self.executors.slots(), 0, 0),
+        }
+    }
+}
+
+fn rejection_of(r: &Rejected) -> Response {
+    let (code, retry_after, message) = (r.code().number(), r.retry_after(), r.to_string());
+    Response::Refused(Refused { code, retry_after, message })
+}
--- /dev/null
+++ b/crates/catkin-http/src/client/mod.rs
@@ -0,0 +1,177 @@
+//! A client with pooled connections.
+
+use crate::body::{self, Body};
+use crate::error::Error;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// The settings of a [`Client`].
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How long a connection may take to come about.
+    pub connect_timeout: Duration,
+    /// How long an unused connection is kept.
+    pub idle: Duration,
+    /// How many unused connections to one address are kept.
+    pub max_idle: usize,
+    /// The largest JSON answer, in bytes.
+    pub max_answer: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            idle: Duration::from_secs(30),
+            max_idle: 64,
+            max_answer: 64 << 20,
+        }
+    }
+}
+
+/// Bytes of bodies that went through a client.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent: AtomicU64,
+    /// Bytes received.
+    pub received: AtomicU64,
+    /// Exchanges.
+    pub exchanges: AtomicU64,
+}
+
+/// An HTTP/1 client.
+#[derive(Clone, Debug)]
+pub struct Client {
+    opt: Options,
+    inner: legacy::Client<HttpConnector, Body>,
+    traffic: Arc<Traffic>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(Options::default())
+    }
+}
+
+impl Client {
+    /// A client without connections so far.
+    #[must_use]
+    pub fn new(opt: Options) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(opt.connect_timeout));
+        connector.set_nodelay(true);
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(opt.idle)
+            .pool_max_idle_per_host(opt.max_idle)
+            .build(connector);
+        Self { opt, inner, traffic: Arc::default() }
+    }
+
+    /// The bytes of JSON bodies that went through.
+    #[must_use]
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
+    /// Sends a request and returns as soon as the head of the answer is there.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] only if no connection came about; [`Error::Lost`] otherwise, also after `timeout`.
+    pub async fn send(
+        &self,
+        req: Request<Body>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        match tokio::time::timeout(timeout, self.inner.request(req)).await {
+            Ok(Ok(res)) => Ok(res),
+            Ok(Err(e)) if e.is_connect() => Err(Error::NotSent(e.to_string())),
+            Ok(Err(e)) => Err(Error::Lost(e.to_string())),
+            Err(_) => Err(Error::Lost(format!("no answer within {} ms", timeout.as_millis()))),
+        }
+    }
+
+    /// Sends bytes and reads the whole answer, whatever its status.
+    ///
+    /// # Errors
+    /// As [`Client::send`], and [`Error::Lost`] if the answer is cut off.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        url: &str,
+        bytes: Bytes,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes), Error> {
+        let t = &self.traffic;
+        t.sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        t.exchanges.fetch_add(1, Ordering::Relaxed);
+        let req = Request::builder()
+            .method(method)
+            .uri(url)
+            .header(CONTENT_TYPE, "application/json")
+            .body(body::full(bytes))
+            .map_err(|e| Error::NotSent(e.to_string()))?;
+        let whole = async {
+            let res = self.send(req, timeout).await?;
+            let status = res.status().as_u16();
+            Ok((status, body::read(res.into_body(), self.opt.max_answer).await?))
+        };
+        let late = || Error::Lost(format!("no whole answer within {} ms", timeout.as_millis()));
+        let answer = tokio::time::timeout(timeout, whole).await.map_err(|_| late())??;
+        t.received.fetch_add(answer.1.len() as u64, Ordering::Relaxed);
+        Ok(answer)
+    }
+
+    /// Sends a JSON value and reads a JSON answer.
+    ///
+    /// # Errors
+    /// As [`Client::exchange`]; [`Error::Status`] for an answer that is no success; [`Error::Malformed`].
+    pub async fn json<T, R>(
+        &self,
+        method: Method,
+        url: &str,
+        value: &T,
+        timeout: Duration,
+    ) -> Result<R, Error>
+    where
+        T: Serialize + ?Sized,
+        R: DeserializeOwned,
+    {
+        let bytes = serde_json::to_vec(value).map_err(|e| Error::NotSent(e.to_string()))?;
+        self.read_json(method, url, bytes.into(), timeout).await
+    }
+
+    /// Reads a JSON answer to a request without a body.
+    ///
+    /// # Errors
+    /// As [`Client::json`].
+    pub async fn get<R: DeserializeOwned>(&self, url: &str, timeout: Duration) -> Result<R, Error> {
+        self.read_json(Method::GET, url, Bytes::new(), timeout).await
+    }
+
+    async fn read_json<R: DeserializeOwned>(
+        &self,
+        method: Method,
+        url: &str,
+        bytes: Bytes,
+        timeout: Duration,
+    ) -> Result<R, Error> {
+        let (status, bytes) = self.exchange(method, url, bytes, timeout).await?;
+        if !(200..300).contains(&status) {
+            let body = String::from_utf8_lossy(&bytes).into_owned();
+            return Err(Error::Status { status, body });
+        }
+        serde_json::from_slice(&bytes).map_err(|e| Error::Malformed(e.to_string()))
+    }
+}
--- a/crates/catkin-lease/src/owner/mod.rs
+++ b/crates/catkin-lease/src/owner/mod.rs
@@ -72,6 +72,7 @@
     confirmed: Duration,
     lost: bool,
     settled: bool,
+    settle_at: Option<Duration>,
     links: BTreeMap<WorkerId, Link>,
     tasks: BTreeMap<TaskId, Task>,
     ready: BTreeSet<WorkerId>,
@@ -89,15 +90,14 @@
         settle_after: Option<Duration>,
     ) -> Self {
         let settle_at = settle_after.map(|d| now.saturating_add(d));
-        let links: BTreeMap<_, _> =
-            workers.into_iter().map(|w| (w, Link::new(settle_at))).collect();
-        let settled = settle_at.is_none() || links.is_empty();
+        let links = workers.into_iter().map(|w| (w, Link::new(settle_at))).collect();
         Self {
             opt,
             epoch,
             confirmed: asked,
             lost: false,
-            settled,
+            settled: settle_at.is_none(),
+            settle_at,
             links,
             tasks: BTreeMap::new(),
             ready: BTreeSet::new(),
@@ -138,6 +138,15 @@
         self.lost = true;
     }
 
+    /// Adds workers on which tasks of earlier terms may run, before anything is sent.
+    pub fn inherit_workers(&mut self, workers: impl IntoIterator<Item = WorkerId>) {
+        let settle_at = self.settle_at;
+        for worker in workers {
+            self.links.entry(worker).or_insert_with(|| Link::new(settle_at));
+            self.settled = settle_at.is_none();
+        }
+    }
+
     /// Adds a worker that no earlier term had.
     pub fn add_worker(&mut self, worker: WorkerId) {
         self.links.entry(worker).or_insert_with(|| Link::new(None));
--- /dev/null
+++ b/crates/catkin-peer/src/client/mod.rs
@@ -0,0 +1,138 @@
+//! The side that calls.
+
+use crate::Options;
+use crate::error::Error;
+use crate::wire::{Counted, Traffic, classify};
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use catkin_schema::peer::{Request, Response};
+use catkin_schema::peer_capnp::door::enter_results;
+use catkin_schema::peer_capnp::{door, peer};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// A call on its way to the thread.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    to: SocketAddr,
+    req: Request,
+    tx: oneshot::Sender<Result<Response, Error>>,
+}
+
+/// Makes calls from any thread.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    tx: mpsc::Sender<Outgoing>,
+}
+
+impl Calls {
+    pub(crate) fn new(tx: mpsc::Sender<Outgoing>) -> Self {
+        Self { tx }
+    }
+
+    /// Calls the daemon at `to`.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] if the call certainly had no effect, [`Error::Lost`] otherwise, also after `timeout`.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        req: Request,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        let (tx, rx) = oneshot::channel();
+        let outgoing = Outgoing { to, req, tx };
+        if self.tx.try_send(outgoing).is_err() {
+            return Err(Error::NotSent("too many calls wait".into()));
+        }
+        match tokio::time::timeout(timeout, rx).await {
+            Ok(Ok(res)) => res,
+            Ok(Err(_)) => Err(Error::Lost("the peer side stopped".into())),
+            Err(_) => Err(Error::Lost(format!("no answer within {} ms", timeout.as_millis()))),
+        }
+    }
+}
+
+type Rooms = Rc<RefCell<HashMap<SocketAddr, peer::Client>>>;
+
+pub(crate) async fn run(
+    opt: Arc<Options>,
+    mut rx: mpsc::Receiver<Outgoing>,
+    traffic: Arc<Traffic>,
+) {
+    let rooms = Rooms::default();
+    let mut calls = JoinSet::new();
+    while let Some(out) = rx.recv().await {
+        while calls.try_join_next().is_some() {}
+        let (opt, rooms, traffic) = (Arc::clone(&opt), Rc::clone(&rooms), Arc::clone(&traffic));
+        calls.spawn_local(async move {
+            let res = call(&opt, &rooms, &traffic, out.to, &out.req).await;
+            let _ = out.tx.send(res);
+        });
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+async fn call(
+    opt: &Options,
+    rooms: &Rooms,
+    traffic: &Traffic,
+    to: SocketAddr,
+    req: &Request,
+) -> Result<Response, Error> {
+    let known = rooms.borrow().get(&to).cloned();
+    let room = match known {
+        Some(room) => room,
+        None => enter(opt, rooms, traffic, to).await?,
+    };
+    let mut message = room.call_request();
+    req.encode(message.get().init_req());
+    let lost = |e: capnp::Error| Error::Lost(e.to_string());
+    let answer = message.send().promise.await.inspect_err(|_| drop(rooms.borrow_mut().remove(&to)));
+    let answer = answer.map_err(lost)?;
+    Response::decode(answer.get().map_err(lost)?.get_res().map_err(lost)?).map_err(lost)
+}
+
+/// Connects and shows the token.
+async fn enter(
+    opt: &Options,
+    rooms: &Rooms,
+    traffic: &Traffic,
+    to: SocketAddr,
+) -> Result<peer::Client, Error> {
+    let connect = tokio::time::timeout(opt.connect_timeout, TcpStream::connect(to));
+    let not_sent = |e: &dyn std::fmt::Display| Error::NotSent(e.to_string());
+    let stream = connect.await.map_err(|e| not_sent(&e))?.map_err(|e| not_sent(&e))?;
+    let counts = traffic.of(classify(opt, to));
+    let (r, w) = tokio::io::split(Counted::new(stream, counts));
+    let network = twoparty::VatNetwork::new(
+        r.compat(),
+        w.compat_write(),
+        Side::Client,
+        ReaderOptions::default(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let door: door::Client = system.bootstrap(Side::Server);
+    // The connection ends with the last object that uses it, or with the thread that it is local to.
+    tokio::task::spawn_local(async move {
+        if let Err(e) = system.await {
+            tracing::debug!("peer: connection ended: {e}");
+        }
+    });
+    let mut message = door.enter_request();
+    message.get().set_from(&opt.id);
+    message.get().set_token(opt.token.as_bytes());
+    let answer = message.send().promise.await.map_err(|e| not_sent(&e))?;
+    let room = answer.get().and_then(enter_results::Reader::get_peer).map_err(|e| not_sent(&e))?;
+    rooms.borrow_mut().insert(to, room.clone());
+    Ok(room)
+}
--- /dev/null
+++ b/crates/catkin-place/src/size/mod.rs
@@ -0,0 +1,76 @@
+//! Sizes as they were seen, for kinds of work whose declared sizes are far from the truth.
+
+use catkin_types::Resources;
+use hdrhistogram::Histogram;
+
+/// The settings of a [`Learned`] size.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How many ended tasks it takes before what was seen counts.
+    pub min_samples: u64,
+    /// The quantile of what was seen that is set aside.
+    pub quantile: f64,
+    /// The least that is set aside, in thousandths of the declared size.
+    pub min_permille: u64,
+    /// The most that is set aside, in thousandths of the declared size.
+    pub max_permille: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { min_samples: 20, quantile: 0.95, min_permille: 100, max_permille: 8_000 }
+    }
+}
+
+const SIGNIFICANT_DIGITS: u8 = 2;
+const MAX_PERMILLE: u64 = 1_000_000;
+const PERMILLE: u64 = 1_000;
+
+/// Peaks of processors and memory of one kind of work, as fractions of what was declared.
+#[derive(Clone, Debug)]
+pub struct Learned {
+    opt: Options,
+    cpu: Histogram<u32>,
+    memory: Histogram<u32>,
+}
+
+impl Learned {
+    /// Nothing seen yet.
+    ///
+    /// # Panics
+    /// Never: the bounds of the histograms are constants that are in range.
+    #[must_use]
+    pub fn new(opt: Options) -> Self {
+        let empty = || Histogram::new_with_max(MAX_PERMILLE, SIGNIFICANT_DIGITS).expect("in range");
+        Self { opt, cpu: empty(), memory: empty() }
+    }
+
+    /// Notes the peak of a task that declared `declared`.
+    pub fn observe(&mut self, declared: &Resources, peak: &Resources) {
+        self.cpu.saturating_record(permille(peak.cpu_milli, declared.cpu_milli));
+        self.memory.saturating_record(permille(peak.memory_mib, declared.memory_mib));
+    }
+
+    /// What to set aside for a task that declares `declared`. Accelerators are taken at their word.
+    #[must_use]
+    pub fn estimate(&self, declared: &Resources) -> Resources {
+        if self.cpu.len() < self.opt.min_samples {
+            return *declared;
+        }
+        Resources {
+            cpu_milli: self.scale(declared.cpu_milli, &self.cpu),
+            memory_mib: self.scale(declared.memory_mib, &self.memory),
+            accelerators: declared.accelerators,
+        }
+    }
+
+    fn scale(&self, declared: u64, seen: &Histogram<u32>) -> u64 {
+        let p = seen.value_at_quantile(self.opt.quantile);
+        let p = p.clamp(self.opt.min_permille, self.opt.max_permille);
+        declared.saturating_mul(p).div_ceil(PERMILLE)
+    }
+}
+
+fn permille(part: u64, whole: u64) -> u64 {
+    if whole == 0 { 0 } else { part.saturating_mul(PERMILLE).div_ceil(whole) }
+}
--- /dev/null
+++ b/crates/catkin-schema/src/peer/encode.rs
@@ -0,0 +1,101 @@
+//! Plain types to messages.
+
+use super::{Aggregate, Beat, Refused, Request, Response, millis};
+use crate::peer_capnp::{aggregate, beat, refused, request, response};
+
+impl Request {
+    /// Writes the call.
+    pub fn encode(&self, b: request::Builder<'_>) {
+        let mut b = b;
+        match self {
+            Self::Beat(x) => x.encode(b.init_beat()),
+            Self::PushLimits(json) => b.set_push_limits(json),
+            Self::PullLimits(version) => b.set_pull_limits(*version),
+            Self::Acquire(x) => {
+                let mut b = b.init_acquire();
+                b.set_shard(&x.shard);
+                b.set_row(&x.row);
+                b.set_request_id(&x.request_id);
+                b.set_wait_ms(millis(x.wait));
+            }
+            Self::Release(x) => {
+                let mut b = b.init_release();
+                b.set_shard(&x.shard);
+                b.set_id(x.id);
+                b.set_healthy(x.healthy);
+            }
+            Self::Offer { shard, job } => {
+                let mut b = b.init_offer();
+                b.set_shard(shard);
+                b.set_job(*job);
+            }
+            Self::Cancel { shard, jobs } => {
+                let mut b = b.init_cancel();
+                b.set_shard(shard);
+                let mut list = b.init_jobs(len(jobs));
+                (0..).zip(jobs).for_each(|(i, job)| list.set(i, *job));
+            }
+            Self::JobStatus(job) => b.set_job_status(*job),
+            Self::Explain(job) => b.set_explain(*job),
+            Self::Workers(shard) => b.set_workers(shard),
+        }
+    }
+}
+
+impl Response {
+    /// Writes the answer.
+    pub fn encode(&self, b: response::Builder<'_>) {
+        let mut b = b;
+        match self {
+            Self::Beat(x) => x.encode(b.init_beat()),
+            Self::Version(version) => b.set_version(*version),
+            Self::Limits(json) => b.set_limits(json),
+            Self::Permit(x) => {
+                let mut b = b.init_permit();
+                b.set_id(x.id);
+                b.set_target(&x.target);
+                b.set_expires_ms(millis(x.expires));
+            }
+            Self::Done => b.set_done(()),
+            Self::Refused(x) => x.encode(b.init_refused()),
+            Self::Text(json) => b.set_text(json),
+        }
+    }
+}
+
+impl Beat {
+    fn encode(&self, mut b: beat::Builder<'_>) {
+        b.set_daemon(&self.daemon);
+        b.set_incarnation(self.incarnation);
+        b.set_limits_version(self.limits_version);
+        b.set_draining(self.draining);
+        let mut list = b.init_shards(len(&self.shards));
+        (0..).zip(&self.shards).for_each(|(i, s)| s.encode(list.reborrow().get(i)));
+    }
+}
+
+impl Aggregate {
+    fn encode(&self, mut b: aggregate::Builder<'_>) {
+        b.set_shard(&self.shard);
+        b.set_epoch(self.epoch);
+        b.set_free_cpu_milli(self.free.cpu_milli);
+        b.set_free_memory_mib(self.free.memory_mib);
+        b.set_free_accelerators(self.free.accelerators);
+        b.set_waiting(self.waiting);
+        b.set_largest_cpu_milli(self.largest.cpu_milli);
+        b.set_largest_memory_mib(self.largest.memory_mib);
+        b.set_largest_accelerators(self.largest.accelerators);
+    }
+}
+
+impl Refused {
+    fn encode(&self, mut b: refused::Builder<'_>) {
+        b.set_code(self.code);
+        b.set_retry_after_ms(millis(self.retry_after));
+        b.set_message(&self.message);
+    }
+}
+
+fn len<T>(list: &[T]) -> u32 {
+    u32::try_from(list.len()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/catkin-schema/src/peer/mod.rs
@@ -0,0 +1,142 @@
+//! The messages between daemons as plain types.
+
+mod decode;
+mod encode;
+
+use catkin_types::{DaemonId, Epoch, JobId, Resources, RowName, ShardId};
+use std::time::Duration;
+
+/// A call of a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// Tells and asks how a daemon is.
+    Beat(Beat),
+    /// Brings a version of the table of weights and limits, as JSON.
+    PushLimits(Vec<u8>),
+    /// Asks for a version newer than this.
+    PullLimits(u64),
+    /// Asks the owner of an executor shard for a slot.
+    Acquire(Acquire),
+    /// Gives a slot back.
+    Release(Release),
+    /// Tells the owner of a shard that a job was accepted for it.
+    Offer {
+        /// The shard.
+        shard: ShardId,
+        /// The job.
+        job: JobId,
+    },
+    /// Tells the owner of a shard that jobs were cancelled.
+    Cancel {
+        /// The shard.
+        shard: ShardId,
+        /// The jobs.
+        jobs: Vec<JobId>,
+    },
+    /// Asks where the tasks of a job are.
+    JobStatus(JobId),
+    /// Asks why a job waits.
+    Explain(JobId),
+    /// Asks for the workers of a shard.
+    Workers(ShardId),
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Response {
+    /// How the daemon is.
+    Beat(Beat),
+    /// The version of the table that the daemon has now.
+    Version(u64),
+    /// The table, or nothing if the caller's is as new.
+    Limits(Vec<u8>),
+    /// A slot.
+    Permit(Permit),
+    /// Taken.
+    Done,
+    /// Declined.
+    Refused(Refused),
+    /// JSON for an operator or a caller.
+    Text(Vec<u8>),
+}
+
+/// How a daemon is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Beat {
+    /// Its name.
+    pub daemon: DaemonId,
+    /// A number that it drew when it started.
+    pub incarnation: u64,
+    /// The version of its table of weights and limits.
+    pub limits_version: u64,
+    /// Whether it is stopping.
+    pub draining: bool,
+    /// The shards that it owns.
+    pub shards: Vec<Aggregate>,
+}
+
+/// What an owner says of a shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Aggregate {
+    /// The shard.
+    pub shard: ShardId,
+    /// The term.
+    pub epoch: Epoch,
+    /// What is free on all workers together, or the number of free slots in the place of processors.
+    pub free: Resources,
+    /// How many tasks or requests wait.
+    pub waiting: u64,
+    /// What the largest workers can hold, by resource.
+    pub largest: Resources,
+}
+
+/// A request for a slot of an executor.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Acquire {
+    /// The shard.
+    pub shard: ShardId,
+    /// The row on whose account the slot is.
+    pub row: RowName,
+    /// The id of the caller's request.
+    pub request_id: String,
+    /// How long the caller is ready to wait.
+    pub wait: Duration,
+}
+
+/// A slot of an executor.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Permit {
+    /// Names the slot when it is given back.
+    pub id: u64,
+    /// Address and port of the executor.
+    pub target: String,
+    /// When the owner takes the slot back of itself.
+    pub expires: Duration,
+}
+
+/// The return of a slot.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Release {
+    /// The shard.
+    pub shard: ShardId,
+    /// The slot.
+    pub id: u64,
+    /// Whether the executor answered.
+    pub healthy: bool,
+}
+
+/// Why a call was declined.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Refused {
+    /// The number of the result code.
+    pub code: u16,
+    /// When to come again.
+    pub retry_after: Duration,
+    /// One sentence.
+    pub message: String,
+}
+
+/// `d` in milliseconds.
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/catkin-share/src/grant/mod.rs
@@ -0,0 +1,148 @@
+//! A limit of the whole cell, divided among shards as fractions whose sum is never above one.
+//!
+//! Fractions, not amounts, so that a changed limit binds a shard as soon as it has the new version of the table. A
+//! shard that has no news keeps its last fraction. An increase is given only out of what was acknowledged as returned.
+
+use catkin_types::ShardId;
+use std::collections::BTreeMap;
+
+/// Parts of a limit. A whole limit is [`WHOLE`] parts.
+pub type Parts = u32;
+/// The number of parts of a whole limit.
+pub const WHOLE: Parts = 1_000_000;
+
+/// What one shard has of a limit, as the divider knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Holding {
+    /// The most that the shard may believe it has.
+    held: Parts,
+    /// What it was told last.
+    told: Parts,
+    /// The number of the message that told it.
+    seq: u64,
+}
+
+/// The message that tells a shard its part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// The shard.
+    pub shard: ShardId,
+    /// Its part from now on.
+    pub parts: Parts,
+    /// The number of the message. A shard takes a higher number only, and acknowledges it.
+    pub seq: u64,
+}
+
+/// Divides one limit.
+#[derive(Clone, Debug, Default)]
+pub struct Divider {
+    shards: BTreeMap<ShardId, Holding>,
+    seq: u64,
+}
+
+impl Divider {
+    /// A divider that takes over from another and knows what it recorded durably.
+    #[must_use]
+    pub fn restore(recorded: impl IntoIterator<Item = (ShardId, Parts)>, seq: u64) -> Self {
+        let holding = |(s, p)| (s, Holding { held: p, told: p, seq });
+        Self { shards: recorded.into_iter().map(holding).collect(), seq }
+    }
+
+    /// The most that all shards together may believe they have.
+    #[must_use]
+    pub fn held(&self) -> Parts {
+        self.shards.values().map(|h| h.held).sum()
+    }
+
+    /// What each shard may believe at most. This is recorded before an increase is told.
+    #[must_use]
+    pub fn record(&self) -> BTreeMap<ShardId, Parts> {
+        self.shards.iter().map(|(s, h)| (s.clone(), h.held)).collect()
+    }
+
+    /// Aims at parts in proportion to `wanted`. Decreases are told at once, increases as far as parts are free.
+    pub fn divide(&mut self, wanted: &BTreeMap<ShardId, f64>) -> Vec<Told> {
+        let aim = aims(wanted);
+        for shard in aim.keys() {
+            self.shards.entry(shard.clone()).or_default();
+        }
+        let mut out = Vec::new();
+        let mut free = WHOLE.saturating_sub(self.held());
+        let shards: Vec<ShardId> = self.shards.keys().cloned().collect();
+        for shard in shards {
+            let goal = aim.get(&shard).copied().unwrap_or(0);
+            let held = self.shards[&shard].held;
+            let increase = goal.saturating_sub(held).min(free);
+            free -= increase;
+            out.extend(self.tell(&shard, goal.min(held + increase)));
+        }
+        out
+    }
+
+    fn tell(&mut self, shard: &ShardId, parts: Parts) -> Option<Told> {
+        let h = self.shards.get_mut(shard)?;
+        if h.told == parts && h.held == parts {
+            return None;
+        }
+        self.seq += 1;
+        h.told = parts;
+        h.held = h.held.max(parts);
+        h.seq = self.seq;
+        Some(Told { shard: shard.clone(), parts, seq: self.seq })
+    }
+
+    /// Notes that the shard took the message of that number.
+    pub fn acknowledge(&mut self, shard: &str, seq: u64) {
+        if let Some(h) = self.shards.get_mut(shard).filter(|h| h.seq == seq) {
+            h.held = h.told;
+        }
+    }
+}
+
+/// Parts in proportion to what is wanted, with a little for everybody, so that no shard starts from nothing.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "the result is at most WHOLE"
+)]
+fn aims(wanted: &BTreeMap<ShardId, f64>) -> BTreeMap<ShardId, Parts> {
+    const BASE: f64 = 0.05;
+    let n = wanted.len() as f64;
+    let sum: f64 = wanted.values().sum();
+    let part = |w: f64| if sum > 0.0 { BASE / n + (1.0 - BASE) * w / sum } else { 1.0 / n };
+    wanted
+        .iter()
+        .map(|(s, w)| (s.clone(), (part(*w) * f64::from(WHOLE)).floor() as Parts))
+        .collect()
+}
+
+/// What a shard holds of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    parts: Parts,
+    seq: u64,
+}
+
+impl Share {
+    /// Takes a message if it is newer. Returns the number to acknowledge.
+    pub fn take(&mut self, told: &Told) -> u64 {
+        if told.seq > self.seq {
+            *self = Self { parts: told.parts, seq: told.seq };
+        }
+        self.seq
+    }
+
+    /// The part.
+    #[must_use]
+    pub fn parts(&self) -> Parts {
+        self.parts
+    }
+
+    /// The shard's part of a limit, rounded down.
+    #[must_use]
+    pub fn of(&self, limit: u64) -> u64 {
+        let part = u128::from(limit) * u128::from(self.parts) / u128::from(WHOLE);
+        u64::try_from(part).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/catkin-standin/src/lib.rs
@@ -0,0 +1,68 @@
+//! Small stand-ins for what the platform gives: the table service, the object store, the host list, workers and
+//! executors. `docs/PLATFORM.md` has the contract that each of them keeps.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod executor;
+pub mod faults;
+pub mod platform;
+pub mod table;
+pub mod worker;
+
+use catkin_http::{Body, server};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// A stand-in that serves.
+#[derive(Debug)]
+pub struct Serving {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<server::Drained>,
+}
+
+impl Serving {
+    /// Stops it and joins its tasks.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        let _ = self.task.await;
+    }
+
+    /// Waits for its end, which comes with the process.
+    pub async fn join(self) {
+        let _ = self.task.await;
+    }
+}
+
+/// Serves `handler` on `addr`. Port 0 takes any free one.
+///
+/// # Errors
+/// The address can't be listened on.
+pub async fn serve<F, Fut>(addr: SocketAddr, handler: F) -> std::io::Result<Serving>
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    let addr = listener.local_addr()?;
+    let stop = CancellationToken::new();
+    let opt =
+        server::Options { drain: std::time::Duration::from_millis(100), ..Default::default() };
+    let task = tokio::spawn(server::serve(listener, opt, handler, stop.clone()));
+    Ok(Serving { addr, stop, task })
+}
+
+/// The value of a query parameter.
+#[must_use]
+pub fn query(req_uri: &hyper::Uri, name: &str) -> Option<String> {
+    let pairs = req_uri.query()?.split('&').filter_map(|p| p.split_once('='));
+    pairs.filter(|(k, _)| *k == name).map(|(_, v)| v.to_owned()).next()
+}
+
+/// The largest body that a stand-in takes, in bytes.
+pub const MAX_BODY: u64 = 64 << 20;
--- a/crates/catkin-types/src/row/mod.rs
+++ b/crates/catkin-types/src/row/mod.rs
@@ -40,6 +40,8 @@
     pub name: RowName,
     /// The borrower on whose account the row's work runs.
     pub borrower: String,
+    /// The service whose executors take the row's requests. Empty for rows of tasks.
+    pub service: String,
     /// The weight in weighted max-min sharing. At least 1.
     pub weight: u32,
     /// What the row gets before any sharing.
@@ -65,6 +67,7 @@
         Self {
             name: String::new(),
             borrower: String::new(),
+            service: String::new(),
             weight: 1,
             guaranteed: Resources::default(),
             limit: Resources::default(),
--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,94 @@
+# The messages between daemons.
+@0xb1f0c3d95a7e4421;
+
+interface Door {
+  # Gives access to whoever knows the deployment's token.
+  enter @0 (from :Text, token :Data) -> (peer :Peer);
+}
+
+interface Peer {
+  call @0 (req :Request) -> (res :Response);
+}
+
+struct Request {
+  union {
+    beat @0 :Beat;
+    pushLimits @1 :Data;        # the table of weights and limits, as JSON
+    pullLimits @2 :UInt64;      # the version that the caller has
+    acquire @3 :Acquire;
+    release @4 :Release;
+    offer @5 :Offer;
+    cancel @6 :Cancel;
+    jobStatus @7 :UInt64;       # the job
+    explain @8 :UInt64;         # the job
+    workers @9 :Text;           # the shard
+  }
+}
+
+struct Response {
+  union {
+    beat @0 :Beat;
+    version @1 :UInt64;         # the version of the table that the answering daemon has
+    limits @2 :Data;            # the table, empty if the caller's is as new
+    permit @3 :Permit;
+    done @4 :Void;
+    refused @5 :Refused;
+    text @6 :Data;              # JSON for an operator or a caller
+  }
+}
+
+struct Beat {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  limitsVersion @2 :UInt64;
+  draining @3 :Bool;
+  shards @4 :List(Aggregate);
+}
+
+struct Aggregate {
+  # What an owner says of a shard, once for each beat.
+  shard @0 :Text;
+  epoch @1 :UInt64;
+  freeCpuMilli @2 :UInt64;
+  freeMemoryMib @3 :UInt64;
+  freeAccelerators @4 :UInt64;
+  waiting @5 :UInt64;
+  largestCpuMilli @6 :UInt64;
+  largestMemoryMib @7 :UInt64;
+  largestAccelerators @8 :UInt64;
+}
+
+struct Acquire {
+  shard @0 :Text;
+  row @1 :Text;
+  requestId @2 :Text;
+  waitMs @3 :UInt64;
+}
+
+struct Permit {
+  id @0 :UInt64;
+  target @1 :Text;              # address and port
+  expiresMs @2 :UInt64;
+}
+
+struct Release {
+  shard @0 :Text;
+  id @1 :UInt64;
+  healthy @2 :Bool;             # whether the target answered
+}
+
+struct Offer {
+  shard @0 :Text;
+  job @1 :UInt64;
+}
+
+struct Cancel {
+  shard @0 :Text;
+  jobs @1 :List(UInt64);
+}
+
+struct Refused {
+  code @0 :UInt16;
+  retryAfterMs @1 :UInt64;
+  message @2 :Text;
+}
--- /dev/null
+++ b/src/bin/catkincartd/check.rs
@@ -0,0 +1,53 @@
+//! Checking settings.
+
+use catkin_schema::settings::{self, Settings};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Reads settings, or prints what is wrong with them.
+pub fn load(file: &Path) -> Option<Settings> {
+    read(file).map(|(settings, _)| settings)
+}
+
+fn read(file: &Path) -> Option<(Settings, String)> {
+    let name = file.display().to_string();
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(e) => {
+            eprintln!("{name}: {e}");
+            return None;
+        }
+    };
+    match settings::parse(&name, &text) {
+        Ok(settings) => Some((settings, text)),
+        Err(problems) => {
+            problems.iter().for_each(|p| eprintln!("{p}"));
+            None
+        }
+    }
+}
+
+/// Checks files, or every `.toml` file of folders.
+pub fn check(paths: &[PathBuf], print: bool) -> ExitCode {
+    let mut good = true;
+    for file in paths.iter().flat_map(|p| files(p)) {
+        let Some((settings, text)) = read(&file) else {
+            good = false;
+            continue;
+        };
+        println!("{}: ok", file.display());
+        if print {
+            settings::effective(&settings, &text).iter().for_each(|e| println!("{e}"));
+        }
+    }
+    if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn files(path: &Path) -> Vec<PathBuf> {
+    let Ok(folder) = std::fs::read_dir(path) else { return vec![path.to_owned()] };
+    let toml = |p: &PathBuf| p.extension().is_some_and(|e| e == "toml");
+    let mut files: Vec<PathBuf> =
+        folder.filter_map(|e| Some(e.ok()?.path())).filter(toml).collect();
+    files.sort();
+    files
+}
--- a/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! temporary
