Faults of separate processes: kills, pauses, outages, lost answers, rolling restarts

Seen failing before they passed: - Rolling restart: every daemon said it was not ready while the one worker shard changed owners, as readiness asked for an owner with claimed workers at that moment. Ruled out: the time of the hand-over itself (requests wait for it up to their row's bound). - Killed owner: a submit within the first half second of the new term was refused with 3006, since no shard had told its size. Now it is accepted and waits; 'can never run' is still told only when every shard has told its size. - Dead workers stayed in a shard's durable list, so that a later take-over would have held all waiting tasks until autonomy and lease were over. An owner marks a worker as vacant once it saw its lease end, and clears the mark, durably, before it starts anything there again.

--- a/crates/catkin-daemon/src/cx/mod.rs
+++ b/crates/catkin-daemon/src/cx/mod.rs
@@ -68,6 +68,7 @@
     pub tasks: TaskTracker,
     local: Mutex<BTreeMap<ShardId, Local>>,
     draining: AtomicBool,
+    ready: AtomicBool,
     started: Instant,
 }
 
@@ -90,6 +91,7 @@
             tasks: TaskTracker::new(),
             local: Mutex::default(),
             draining: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
             started: Instant::now(),
         })
     }
@@ -117,6 +119,17 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Whether the daemon has been ready for requests since it started.
+    #[must_use]
+    pub fn was_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Notes that the daemon is ready for requests.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::Release);
+    }
+
     /// The other daemons.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.settings.peers.iter().filter(|p| p.id != self.settings.daemon.id)
--- a/crates/catkin-daemon/src/daemon.rs
+++ b/crates/catkin-daemon/src/daemon.rs
@@ -105,6 +105,8 @@
         let (tx, rx) = oneshot::channel();
         let _ = self.scan.0.send_message(scan::Message::ReleaseAll(tx));
         let _ = rx.await;
+        // It serves on until the balancer and callers with open connections have turned away.
+        tokio::time::sleep(Duration::from_millis(self.cx.settings.gate.lame_duck_ms)).await;
         self.stop_gate.cancel();
         let drained = self.gate.await.unwrap_or(Drained::CutOff);
         self.cx.tasks.close();
--- a/crates/catkin-daemon/src/gate/admin.rs
+++ b/crates/catkin-daemon/src/gate/admin.rs
@@ -20,9 +20,11 @@
     if cx.table().is_none() {
         return body::text(503, "no table of weights and limits\n");
     }
-    if cx.directory.borrow().is_empty() || !jobs::workers_known(cx) {
+    // Once only: later a shard that changes owners is no reason to send requests elsewhere.
+    if !cx.was_ready() && !jobs::workers_known(cx) {
         return body::text(503, "no shards\n");
     }
+    cx.set_ready();
     body::text(200, "ready\n")
 }
 
--- a/crates/catkin-daemon/src/gate/call.rs
+++ b/crates/catkin-daemon/src/gate/call.rs
@@ -97,9 +97,6 @@
         rest: &str,
         id: &str,
     ) -> Result<Call, Failure> {
-        if self.cx.draining() && self.cx.locals().is_empty() && self.cx.peers().next().is_none() {
-            return Err(Failure::of(Code::DRAINING));
-        }
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
         let table = self.cx.table().ok_or_else(|| Failure::of(Code::NO_LIMITS))?;
         let row = table.get(name).filter(|r| !r.service.is_empty()).cloned();
@@ -155,19 +152,8 @@
         mut before: Option<&mut intent::Guard<'_>>,
     ) -> Result<Target, Failure> {
         let mut last = Failure::of(Code::NO_TARGET);
-        for attempt in 0..MAX_ATTEMPTS {
-            let mut slot = match self.acquire(call).await {
-                Ok(slot) => slot,
-                Err(failure) if attempt + 1 < MAX_ATTEMPTS && transient(failure.code) => {
-                    last = failure;
-                    tokio::time::sleep(
-                        ACQUIRE_PAUSE * 2_u32.pow(u32::try_from(attempt).unwrap_or(0)),
-                    )
-                    .await;
-                    continue;
-                }
-                Err(failure) => return Err(failure),
-            };
+        for _ in 0..MAX_ATTEMPTS {
+            let mut slot = self.acquire(call).await?;
             if let Some(guard) = before.as_deref_mut() {
                 guard.insert().await?;
             }
@@ -207,12 +193,28 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner).retry()
     }
 
-    /// Asks the owners of the service's executors for a slot, near ones first.
+    /// Asks for a slot until the row's longest wait is over. Shards that change owners are without one for a moment.
     async fn acquire(&self, call: &Call) -> Result<Slot, Failure> {
+        let until = self.cx.now() + Duration::from_millis(call.row.max_wait_ms);
+        loop {
+            let failure = match self.acquire_once(call, until.saturating_sub(self.cx.now())).await {
+                Ok(slot) => return Ok(slot),
+                Err(failure) => failure,
+            };
+            if !transient(failure.code) || self.cx.now() + ACQUIRE_PAUSE >= until {
+                return Err(failure);
+            }
+            tokio::time::sleep(ACQUIRE_PAUSE).await;
+        }
+    }
+
+    /// Asks the owners of the service's executors for a slot, near ones first.
+    async fn acquire_once(&self, call: &Call, wait: Duration) -> Result<Slot, Failure> {
         let shards = self.shards_of(&call.row.service);
-        let wait = Duration::from_millis(call.row.max_wait_ms);
-        let mut last =
-            Failure::new(Code::NO_TARGET, format!("service {} has no executors", call.row.service));
+        let none = || {
+            Failure::new(Code::NO_TARGET, format!("service {} has no executors", call.row.service))
+        };
+        let mut last = none().retry_after(catkin_queue::MIN_RETRY);
         for shard in shards {
             let acquire = Acquire {
                 shard: shard.clone(),
@@ -220,8 +222,14 @@
                 request_id: call.id.clone(),
                 wait,
             };
-            let timeout = wait + ACQUIRE_MARGIN;
-            match route::call(&self.cx, &shard, PeerRequest::Acquire(acquire), timeout).await {
+            match route::call(
+                &self.cx,
+                &shard,
+                PeerRequest::Acquire(acquire),
+                wait + ACQUIRE_MARGIN,
+            )
+            .await
+            {
                 Ok(PeerResponse::Permit(p)) => return Ok(self.slot(shard, p)),
                 Ok(PeerResponse::Refused(r)) => {
                     let code = Code::from_number(r.code).unwrap_or(Code::NO_TARGET);
@@ -231,7 +239,10 @@
                     }
                 }
                 Ok(_) => last = Failure::of(Code::INTERNAL),
-                Err(e) => last = Failure::new(Code::NO_OWNER, e.to_string()),
+                Err(e) => {
+                    last = Failure::new(Code::NO_OWNER, e.to_string())
+                        .retry_after(catkin_queue::MIN_RETRY);
+                }
             }
         }
         Err(last)
--- a/crates/catkin-daemon/src/gate/jobs.rs
+++ b/crates/catkin-daemon/src/gate/jobs.rs
@@ -206,11 +206,14 @@
         if workers.is_empty() {
             return Err(Failure::new(Code::NO_OWNER, "there is no shard of workers yet"));
         }
-        let mut targets = Vec::new();
+        let (mut targets, mut silent) = (Vec::new(), Vec::new());
         let (mut too_small, mut full) = (0, 0);
         let mut largest = Resources::default();
         for (id, entry) in &workers {
+            let near = entry.shard.region == self.cx.settings.daemon.region;
+            let target = |free| Target { shard: (*id).clone(), free, near };
             let Some(a) = self.cx.live.aggregate(id).filter(|a| !a.largest.is_zero()) else {
+                silent.push(target(Resources::default()));
                 continue;
             };
             largest = largest.max(&a.largest);
@@ -219,8 +222,7 @@
             } else if a.waiting + u64::from(submit.tasks) > MAX_WAITING {
                 full += 1;
             } else {
-                let near = entry.shard.region == self.cx.settings.daemon.region;
-                targets.push(Target { shard: (*id).clone(), free: a.free, near });
+                targets.push(target(a.free));
             }
         }
         if too_small == workers.len() {
@@ -233,8 +235,8 @@
             );
         }
         if targets.is_empty() {
-            let what = "no shard with workers that large has told of itself yet";
-            return Err(Failure::new(Code::NO_OWNER, what).retry_after(CALL));
+            // Their owners have just begun. The job waits for the one that it goes to.
+            targets = silent;
         }
         // Another region only if this one has no room for a single task.
         let fits_near = targets.iter().any(|t| t.near && submit.size.fits(&t.free));
--- a/crates/catkin-daemon/src/gate/mod.rs
+++ b/crates/catkin-daemon/src/gate/mod.rs
@@ -15,7 +15,7 @@
 use catkin_queue::Budget;
 use catkin_types::{Answer, Code};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -104,7 +104,12 @@
             Ok(res) => res,
             Err(failure) => self.failed(&failure, &path, &id),
         };
-        with_id(res, &id)
+        let mut res = with_id(res, &id);
+        if self.cx.draining() {
+            // The caller opens its next connection elsewhere.
+            res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        res
     }
 
     fn failed(&self, failure: &Failure, path: &str, id: &str) -> Response<Body> {
--- a/crates/catkin-daemon/src/owner/chunks.rs
+++ b/crates/catkin-daemon/src/owner/chunks.rs
@@ -5,7 +5,6 @@
 use crate::rows::{self, Chunk};
 use catkin_lease::message::Ending;
 use catkin_lease::owner::State as TaskState;
-use catkin_store::hosts::Host;
 use catkin_store::{Error as StoreError, Row, Txn};
 use catkin_types::{JobId, TaskId, WorkerId};
 use std::collections::BTreeSet;
@@ -19,7 +18,7 @@
 const WRITE_PATIENCE: Duration = Duration::from_secs(10);
 
 impl State {
-    /// Reads the shard's chunks, cancellations and hosts.
+    /// Reads the shard's chunks, cancellations and members.
     pub(super) fn load(&mut self) {
         if self.loading != Loading::No {
             self.loading = Loading::Again;
@@ -50,12 +49,7 @@
                 return;
             }
         };
-        let hosts = loaded.hosts.as_ref().and_then(rows::from_json::<Vec<Host>>);
-        if self.loaded {
-            hosts.unwrap_or_default().into_iter().for_each(|h| self.add_host(h));
-        } else {
-            self.first_hosts(hosts.unwrap_or_default());
-        }
+        self.read_members(loaded.hosts.as_ref());
         for row in &loaded.chunks {
             if let Some(chunk) = rows::from_json::<Chunk>(row) {
                 self.adopt(chunk, row.version);
@@ -70,14 +64,6 @@
         self.pump_soon();
     }
 
-    /// The hosts of earlier terms have to be settled; hosts that are added later have nothing from before.
-    fn first_hosts(&mut self, hosts: Vec<Host>) {
-        self.lease.inherit_workers(hosts.iter().map(|h| h.id.clone()));
-        for host in hosts {
-            self.add_host(host);
-        }
-    }
-
     fn adopt(&mut self, chunk: Chunk, version: u64) {
         let key = (chunk.job_id(), chunk.from);
         if self.open.contains_key(&key) {
--- a/crates/catkin-daemon/src/owner/mod.rs
+++ b/crates/catkin-daemon/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of a shard of workers: an actor around the lease state machine, placement and fair shares.
 
 mod chunks;
+mod members;
 mod pump;
 mod report;
 mod state;
@@ -8,7 +9,7 @@
 
 use crate::Cx;
 use crate::cx::Entry;
-use crate::rows::Chunk;
+use crate::rows::{Chunk, Member};
 use catkin_lease::message::{Reply, Request};
 use catkin_schema::peer::{Aggregate, Response};
 use catkin_store::hosts::Host;
@@ -44,6 +45,10 @@
     Written(Box<Written>),
     /// The version of a chunk's row was read, after a write found another one.
     Reread((JobId, u32), Result<Option<u64>, StoreError>),
+    /// The list of members was written, with this version, or not.
+    MembersWritten(Option<(u64, Vec<Member>)>),
+    /// A vacant member answered.
+    Back(WorkerId),
     /// Asks for the aggregate.
     Describe(oneshot::Sender<Aggregate>),
     /// Asks where the tasks of a job are.
@@ -133,6 +138,8 @@
             Message::Loaded(loaded) => s.loaded(loaded),
             Message::Written(written) => s.written(*written),
             Message::Reread(key, version) => s.reread_done(key, version),
+            Message::MembersWritten(written) => s.members_written(written),
+            Message::Back(worker) => s.occupy(&worker),
             Message::Describe(tx) => drop(tx.send(s.describe())),
             Message::Status(job, tx) => drop(tx.send(s.status(job))),
             Message::Explain(job, tx) => drop(tx.send(s.explain(job))),
--- a/crates/catkin-daemon/src/owner/state.rs
+++ b/crates/catkin-daemon/src/owner/state.rs
@@ -54,6 +54,7 @@
     pub(super) shelf: Shelf,
     pub(super) hosts: BTreeMap<WorkerId, Host>,
     pub(super) leaving: BTreeSet<WorkerId>,
+    pub(super) members: super::members::Members,
     pub(super) open: BTreeMap<(JobId, u32), Open>,
     pub(super) lanes: BTreeMap<RowName, VecDeque<Waiting>>,
     pub(super) held: BTreeMap<RowName, Resources>,
@@ -83,6 +84,7 @@
             shelf: Shelf::default(),
             hosts: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            members: super::members::Members::default(),
             open: BTreeMap::new(),
             lanes: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -105,6 +107,7 @@
             self.load();
         }
         self.poll();
+        self.look_at_members();
         self.write_dirty();
         self.pump();
     }
@@ -131,9 +134,14 @@
         let claimed = events.iter().any(|e| matches!(e, Event::Claimed(_)));
         for event in events {
             match event {
-                Event::Claimed(worker) | Event::Leaving(worker) => self.sync(&worker),
+                Event::Claimed(worker) => {
+                    self.members.heard(&worker);
+                    self.sync(&worker);
+                }
+                Event::Leaving(worker) => self.sync(&worker),
                 Event::Gone(worker) => {
                     tracing::warn!("owner: worker {worker} of {} is gone", self.shard);
+                    self.members.lost(&worker, self.cx.now());
                     self.sync(&worker);
                 }
                 Event::Lost { task, worker } => {
@@ -273,14 +281,4 @@
             self.sync(&worker);
         }
     }
-
-    /// Takes up a host of the shard.
-    pub(super) fn add_host(&mut self, host: Host) {
-        let worker = host.id.clone();
-        if self.hosts.insert(worker.clone(), host).is_none() {
-            self.health.add(&worker);
-            self.lease.add_worker(worker.clone());
-            self.sync(&worker);
-        }
-    }
 }
--- a/crates/catkin-daemon/src/peers/mod.rs
+++ b/crates/catkin-daemon/src/peers/mod.rs
@@ -87,6 +87,15 @@
         all.filter(|a| a.shard == shard).max_by_key(|a| a.epoch).cloned()
     }
 
+    /// Who said last, with the highest epoch, that it owns the shard.
+    #[must_use]
+    pub fn owner(&self, shard: &str) -> Option<(DaemonId, u64)> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let claims = heard.iter().flat_map(|(id, h)| h.beat.shards.iter().map(move |a| (id, a)));
+        let own = claims.filter(|(_, a)| a.shard == shard).max_by_key(|(_, a)| a.epoch);
+        own.map(|(id, a)| (id.clone(), a.epoch))
+    }
+
     /// The version of the table of weights and limits of each daemon that was ever heard, and whether it is alive.
     #[must_use]
     pub fn versions(&self, now: Duration) -> Vec<(DaemonId, u64, bool)> {
--- a/crates/catkin-daemon/src/route/mod.rs
+++ b/crates/catkin-daemon/src/route/mod.rs
@@ -25,14 +25,26 @@
             Err(_) => Err(CallError::Lost(format!("no answer within {} ms", timeout.as_millis()))),
         };
     }
-    let directory = cx.directory.borrow().clone();
-    let owner = directory.get(shard).map(|e| e.shard.term.owner.clone());
+    let owner = owner_of(cx, shard);
     let addr = owner.as_deref().filter(|o| *o != cx.id()).and_then(|o| cx.peer_addr(o));
     let addr =
         addr.ok_or_else(|| CallError::NotSent(format!("shard {shard} has no known owner")))?;
     cx.calls.call(addr, req, timeout).await
 }
 
+/// The daemon that owns a shard, by the table or by its own word, whichever has the higher epoch.
+fn owner_of(cx: &Cx, shard: &str) -> Option<String> {
+    let directory = cx.directory.borrow().clone();
+    let by_table = directory.get(shard).map(|e| &e.shard.term);
+    let by_word = cx.live.owner(shard);
+    match (by_table, by_word) {
+        (Some(term), Some((id, epoch))) if epoch > term.epoch => Some(id),
+        (Some(term), _) if !term.released => Some(term.owner.clone()),
+        (None, Some((id, _))) => Some(id),
+        _ => None,
+    }
+}
+
 /// A refusal.
 #[must_use]
 pub fn refused(code: Code, message: &str) -> Response {
--- a/crates/catkin-daemon/src/rows/mod.rs
+++ b/crates/catkin-daemon/src/rows/mod.rs
@@ -3,7 +3,7 @@
 //! | key | value | who writes it |
 //! | --- | --- | --- |
 //! | `shard/REGION/ZONE/KIND/N` | [`Shard`] | the owner, or its successor by compare-and-set |
-//! | `hosts/REGION/ZONE/KIND/N` | list of hosts | the owner |
+//! | `hosts/REGION/ZONE/KIND/N` | list of [`Member`] | the owner |
 //! | `job/ID` | [`Job`] | the gate that accepts it |
 //! | `key/BORROWER/KEY` | [`Key`] | the gate that accepts it |
 //! | `chunk/SHARD/ID/N` | [`Chunk`] | the gate at first, then the shard's owner |
@@ -19,7 +19,7 @@
 
 use catkin_lease::term::Term;
 use catkin_limits::edit::Change;
-use catkin_store::hosts::Kind;
+use catkin_store::hosts::{Host, Kind};
 use catkin_types::{JobId, Region, Resources, RowName, ShardId, TaskId};
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +40,18 @@
     pub service: String,
 }
 
+/// A host of a shard, in the row `hosts/SHARD`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The host.
+    #[serde(flatten)]
+    pub host: Host,
+    /// Nothing of this shard runs there: an owner has seen its lease end, and nothing was started since. A new owner
+    /// need not wait for it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub vacant: bool,
+}
+
 /// The name of a shard: `REGION/ZONE/KIND/N`, with `workers` or the service for the kind.
 #[must_use]
 pub fn shard_id(region: &str, zone: &str, kind: Kind, service: &str, n: usize) -> ShardId {
--- a/crates/catkin-daemon/src/scan/assign.rs
+++ b/crates/catkin-daemon/src/scan/assign.rs
@@ -1,7 +1,7 @@
 //! Putting hosts into shards. A host stays in its shard for good, so that its epoch only grows.
 
 use super::{Scan, State};
-use crate::rows::{self, Shard, shard_id};
+use crate::rows::{self, Member, Shard, shard_id};
 use catkin_lease::term::Term;
 use catkin_store::hosts::{Host, Kind};
 use catkin_store::{Row, Txn};
@@ -13,19 +13,20 @@
 #[derive(Debug, Default)]
 pub(super) struct Assigned {
     known: BTreeSet<String>,
-    lists: BTreeMap<ShardId, (u64, Vec<Host>)>,
+    lists: BTreeMap<ShardId, (u64, Vec<Member>)>,
 }
 
 impl Assigned {
     /// The hosts of a shard.
     pub fn of(&self, shard: &str) -> Vec<Host> {
-        self.lists.get(shard).map(|(_, l)| l.clone()).unwrap_or_default()
+        let members = self.lists.get(shard).map(|(_, l)| l.as_slice()).unwrap_or_default();
+        members.iter().map(|m| m.host.clone()).collect()
     }
 
     fn read(&mut self, rows: &[Row]) {
         for row in rows {
-            let Some(list) = rows::from_json::<Vec<Host>>(row) else { continue };
-            self.known.extend(list.iter().map(|h| h.id.clone()));
+            let Some(list) = rows::from_json::<Vec<Member>>(row) else { continue };
+            self.known.extend(list.iter().map(|m| m.host.id.clone()));
             let shard = row.key.trim_start_matches("hosts/").to_owned();
             self.lists.insert(shard, (row.version, list));
         }
@@ -60,6 +61,7 @@
                 Err(_) => return,
             }
         }
+        self.begin_unowned(s).await;
         let mut groups: BTreeMap<String, (Group, Vec<Host>)> = BTreeMap::new();
         for host in fresh(s) {
             let name = shard_id(&host.region, &host.zone, host.kind, &host.service, 0);
@@ -74,6 +76,26 @@
         }
     }
 
+    /// Begins the first term of shards whose list was written by a daemon that did not get further.
+    async fn begin_unowned(&self, s: &mut State) {
+        let directory = self.cx.directory.borrow().clone();
+        let without: Vec<(ShardId, Host)> = s
+            .assigned
+            .lists
+            .iter()
+            .filter(|(id, _)| !directory.contains_key(*id))
+            .filter_map(|(id, (_, list))| Some((id.clone(), list.first()?.host.clone())))
+            .collect();
+        for (id, host) in without {
+            if self.proper(&id, &host.region) == self.cx.id() && !self.cx.draining() {
+                let term = Term::succeed(None, self.cx.id(), &self.cx.lease());
+                let shard =
+                    Shard { term, region: host.region, kind: host.kind, service: host.service };
+                self.begin(s, &id, shard, 0, None).await;
+            }
+        }
+    }
+
     /// Whether this daemon stands in for a region without live daemons.
     fn proper_for_region(&self, region: &str) -> bool {
         let now = self.cx.now();
@@ -93,7 +115,7 @@
             if room == 0 {
                 continue;
             }
-            list.extend(hosts.drain(..room));
+            list.extend(hosts.drain(..room).map(|host| Member { host, vacant: false }));
             if !self.write_list(s, &id, version, list, region, *kind, service).await {
                 return;
             }
@@ -106,7 +128,7 @@
         s: &mut State,
         id: &ShardId,
         version: u64,
-        list: Vec<Host>,
+        list: Vec<Member>,
         region: &str,
         kind: Kind,
         service: &str,
@@ -115,7 +137,7 @@
         let txn = Txn::default().check(&key, version).put(&key, rows::to_json(&list));
         let Ok(version) = self.cx.store.commit(txn, PATIENCE).await else { return false };
         tracing::info!("scan: shard {id} has {} hosts", list.len());
-        s.assigned.known.extend(list.iter().map(|h| h.id.clone()));
+        s.assigned.known.extend(list.iter().map(|m| m.host.id.clone()));
         s.assigned.lists.insert(id.clone(), (version, list));
         if !self.cx.directory.borrow().contains_key(id) {
             let term = Term::succeed(None, self.cx.id(), &self.cx.lease());
--- a/crates/catkin-daemon/src/scan/takeover.rs
+++ b/crates/catkin-daemon/src/scan/takeover.rs
@@ -2,7 +2,7 @@
 
 use super::{Scan, State};
 use crate::cx::{Entry, Local};
-use crate::rows::{self, Shard};
+use crate::rows::{self, Member, Shard};
 use crate::{owner, slots};
 use catkin_lease::term::Term;
 use catkin_store::hosts::{Host, Kind};
@@ -96,7 +96,8 @@
     /// The hosts of a shard, by its durable list.
     pub(super) async fn hosts_of(&self, id: &str) -> Result<Vec<Host>, StoreError> {
         let row = self.cx.store.row(&format!("hosts/{id}")).await?;
-        Ok(row.as_ref().and_then(rows::from_json::<Vec<Host>>).unwrap_or_default())
+        let members = row.as_ref().and_then(rows::from_json::<Vec<Member>>).unwrap_or_default();
+        Ok(members.into_iter().map(|m| m.host).collect())
     }
 
     /// Ends the term: the owner sends nothing more, then the row says so.
@@ -113,7 +114,9 @@
         let Some(entry) = directory.get(id).filter(|e| e.shard.term.owner == self.cx.id()) else {
             return;
         };
-        let term = entry.shard.term.release(settled);
+        let term = &entry.shard.term;
+        let term =
+            if settled { term.settle(&self.cx.lease()).release(true) } else { term.release(false) };
         let shard = Shard { term, ..entry.shard.clone() };
         let key = format!("shard/{id}");
         let txn = Txn::default().check(&key, entry.version).put(&key, rows::to_json(&shard));
--- a/crates/catkin-lease/src/owner/mod.rs
+++ b/crates/catkin-lease/src/owner/mod.rs
@@ -152,6 +152,18 @@
         self.links.entry(worker).or_insert_with(|| Link::new(None));
     }
 
+    /// Takes a worker out on which nothing of any term can run. Returns whether it did.
+    pub fn remove_worker(&mut self, now: Duration, worker: &WorkerId) -> bool {
+        let idle =
+            |l: &Link| !l.claimed() && l.tasks.is_empty() && l.settle_at.is_none_or(|at| now >= at);
+        let gone = self.links.get(worker).is_some_and(idle);
+        if gone {
+            self.links.remove(worker);
+            self.ready.remove(worker);
+        }
+        gone
+    }
+
     /// Takes up a task. One that an earlier term knew may run on any unsettled worker.
     pub fn adopt(&mut self, task: TaskId, size: Resources, inherited: bool) {
         let state = if inherited && !self.settled { State::Held } else { State::Waiting };
--- a/crates/catkin-lease/tests/lease/interleave.rs
+++ b/crates/catkin-lease/tests/lease/interleave.rs
@@ -27,8 +27,7 @@
     let pick = |n: usize| usize::from(arg) % n.max(1);
     match op % 32 {
         0 | 1 => w.advance(u64::from(arg) * 4),
-        16..=23 => w.poll(i),
-        2..=4 => w.poll(i),
+        2..=4 | 16..=23 => w.poll(i),
         5 | 6 if !w.net.is_empty() => w.deliver(pick(w.net.len()), false),
         7 | 8 if !w.returns.is_empty() => w.answer(pick(w.returns.len())),
         9 if !w.net.is_empty() => w.deliver(pick(w.net.len()), true),
--- a/crates/catkin-standin/examples/fleet.rs
+++ b/crates/catkin-standin/examples/fleet.rs
@@ -86,7 +86,9 @@
     let bytes = serde_json::to_vec(&hosts)?;
     let url = format!("{}/v1/hosts", args.platform);
     Client::default().exchange(Method::POST, &url, bytes.into(), TIMEOUT).await?;
-    hosts.iter().for_each(|h| println!("host {} {}", h.id, h.addr));
+    for h in &hosts {
+        println!("host {} {}", h.id, h.addr);
+    }
     println!("ready");
     for serving in running {
         serving.join().await;
--- a/crates/catkin-standin/src/worker/mod.rs
+++ b/crates/catkin-standin/src/worker/mod.rs
@@ -45,7 +45,7 @@
 pub struct Run {
     /// The task.
     pub task: TaskId,
-    /// When it started, in milliseconds of the worker's clock.
+    /// When it started, in milliseconds since the epoch of Unix.
     pub from_ms: u64,
     /// When it ended, if it did.
     pub to_ms: Option<u64>,
@@ -169,7 +169,7 @@
 
     /// Sets the end of programs that began, and notes those that are gone.
     fn note_changes(&mut self) {
-        let now_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let now_ms = wall_clock_ms();
         let running = self.contract.tasks();
         let gone: Vec<TaskId> =
             self.ends.keys().filter(|t| !running.contains_key(t)).copied().collect();
@@ -200,3 +200,8 @@
         self.contract.set_used(used);
     }
 }
+
+fn wall_clock_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- a/src/bin/catkincartd/check.rs
+++ b/src/bin/catkincartd/check.rs
@@ -21,7 +21,9 @@
     match settings::parse(&name, &text) {
         Ok(settings) => Some((settings, text)),
         Err(problems) => {
-            problems.iter().for_each(|p| eprintln!("{p}"));
+            for p in &problems {
+                eprintln!("{p}");
+            }
             None
         }
     }
@@ -37,7 +39,9 @@
         };
         println!("{}: ok", file.display());
         if print {
-            settings::effective(&settings, &text).iter().for_each(|e| println!("{e}"));
+            for e in &settings::effective(&settings, &text) {
+                println!("{e}");
+            }
         }
     }
     if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- /dev/null
+++ b/tests/faults/main.rs
@@ -0,0 +1,14 @@
+//! Faults of separate processes: kills, pauses, outages of the platform, lost answers, rolling restarts.
+
+#[path = "../support/mod.rs"]
+#[expect(dead_code, reason = "other tests use the rest")]
+mod support;
+
+mod answers;
+mod at_most_once;
+mod leaving;
+mod limits;
+mod outage;
+mod rolling;
+mod takeover;
+mod view;
--- /dev/null
+++ b/tests/faults/rolling.rs
@@ -0,0 +1,95 @@
+//! A rolling restart of every daemon under load: no request fails, no task is lost.
+
+use crate::support::{Deployment, Options, exchange, get};
+use crate::view::{assert_never_twice, runs, submit, until};
+use serde_json::json;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+const CALLERS: usize = 6;
+
+/// Sends a request as the platform's balancer would: to a daemon that says it is ready, and on to another one if the
+/// connection did not come about.
+fn call(addrs: &[String], first: usize, path: &str) -> Result<(), String> {
+    for k in 0..addrs.len() * 20 {
+        let addr = &addrs[(first + k) % addrs.len()];
+        if get(addr, "/readyz").is_none_or(|(status, _)| status != 200) {
+            continue;
+        }
+        return match exchange(addr, "GET", path, "") {
+            Ok((200, _)) => Ok(()),
+            Ok((status, body)) => Err(format!("{addr}: {status} {body}")),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => continue,
+            Err(e) => Err(format!("{addr}: {e}")),
+        };
+    }
+    Err("no daemon is ready".into())
+}
+
+#[test]
+fn a_rolling_restart_under_load_cuts_nothing() {
+    let opt = Options { name: "rolling", regions: vec![("north", 3)], ..Options::default() };
+    let mut d = Deployment::start(&opt);
+    let addrs: Vec<String> = d.daemons.iter().map(|x| x.http.clone()).collect();
+    let job = submit(&d, 0, &["shop-plans", "sleep 12000", "--tasks", "32", "--cpu-milli", "1000"]);
+    until(&d, 0, &job, "running", &json!(32));
+    let (stop, served) = (AtomicBool::new(false), AtomicUsize::new(0));
+    let failures: Vec<String> = std::thread::scope(|s| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|t| {
+                let (addrs, stop, served) = (&addrs, &stop, &served);
+                s.spawn(move || {
+                    let mut failed = Vec::new();
+                    let mut n = t;
+                    while !stop.load(Ordering::Relaxed) {
+                        n += 1;
+                        // Some answers take long, so that some are in progress at every moment of the stop.
+                        let ms = if n % 5 == 0 { 400 } else { 5 };
+                        let path = format!("/v1/call/shop-quotes/q?ms={ms}");
+                        match call(addrs, n, &path) {
+                            Ok(()) => drop(served.fetch_add(1, Ordering::Relaxed)),
+                            Err(e) => failed.push(e),
+                        }
+                    }
+                    failed
+                })
+            })
+            .collect();
+        for i in 0..3 {
+            d.process(i).signal("TERM");
+            let status = d.process(i).wait();
+            assert!(status.success(), "daemon {i}: {status}");
+            d.run(i);
+            d.ready();
+        }
+        stop.store(true, Ordering::Relaxed);
+        callers.into_iter().flat_map(|c| c.join().expect("a thread")).collect()
+    });
+    println!("{} requests served", served.load(Ordering::Relaxed));
+    assert_eq!(failures, Vec::<String>::new());
+    until(&d, 0, &job, "state", &json!("done"));
+    let runs = runs(&d);
+    assert_never_twice(&runs);
+    assert!(runs.values().all(|r| r.len() == 1));
+}
+
+#[test]
+fn a_second_signal_stops_at_once() {
+    let opt = Options { name: "second", regions: vec![("north", 1)], ..Options::default() };
+    let mut d = Deployment::start(&opt);
+    let addr = d.daemons[0].http.clone();
+    let slow =
+        std::thread::spawn(move || exchange(&addr, "GET", "/v1/call/shop-quotes/q?ms=20000", ""));
+    crate::support::eventually("the request runs", || {
+        let executors = d.hosts("shop-main");
+        let total =
+            |addr: &str| get(addr, "/seen").is_some_and(|(_, b)| !b.contains("\"total\":0"));
+        executors.iter().any(|(_, a)| total(a)).then_some(())
+    });
+    d.process(0).signal("TERM");
+    let addr = d.daemons[0].http.clone();
+    crate::support::eventually("it drains", || (get(&addr, "/readyz")?.0 == 503).then_some(()));
+    assert!(!d.process(0).ended());
+    d.process(0).signal("TERM");
+    assert_eq!(d.process(0).wait().code(), Some(130));
+    assert!(slow.join().expect("a thread").is_ok_and(|(status, _)| status != 200));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Deployments of separate processes for tests: the stand-in platform, fleets, daemons, and the client.
 
+use std::fmt::Write as _;
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
@@ -9,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// The longest that a condition may take to come about.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_mins(1);
 const POLL: Duration = Duration::from_millis(20);
 
 /// A child that is killed and reaped when it is dropped.
@@ -126,6 +127,8 @@
     pub executors: usize,
     /// Lines that are added to each daemon's settings.
     pub extra: String,
+    /// Lines that are added to the section of the platform.
+    pub platform_extra: String,
     pub lease_ms: u64,
 }
 
@@ -137,6 +140,7 @@
             workers: 4,
             executors: 2,
             extra: String::new(),
+            platform_extra: String::new(),
             lease_ms: 10_000,
         }
     }
@@ -242,7 +246,7 @@
     }
 }
 
-fn fleet(opt: &Options, url: &str, region: &str) -> Process {
+pub fn fleet(opt: &Options, url: &str, region: &str) -> Process {
     let mut command = Command::new(stand_in("fleet"));
     command.args(["--platform", url, "--region", region, "--zone", &format!("{region}-a")]);
     command.args([
@@ -262,9 +266,11 @@
     for (region, n) in &opt.regions {
         for k in 0..*n {
             let (id, peer) = (format!("{region}-{k}"), format!("127.0.0.1:{}", free_port()));
-            peers += &format!(
+            write!(
+                peers,
                 "[[peers]]\nid = \"{id}\"\nregion = \"{region}\"\nzone = \"{region}-a\"\npeer_addr = \"{peer}\"\n\n"
-            );
+            )
+            .expect("memory");
             let http = format!("127.0.0.1:{}", free_port());
             let own = format!(
                 "[daemon]\nid = \"{id}\"\nregion = \"{region}\"\nzone = \"{region}-a\"\nhttp_listen = \"{http}\"\npeer_listen = \"{peer}\"\n\n"
@@ -277,7 +283,8 @@
         }
     }
     let platform = format!(
-        "[platform]\ntable_url = \"{url}\"\nobjects_url = \"{url}\"\nhosts_url = \"{url}\"\n\n"
+        "[platform]\ntable_url = \"{url}\"\nobjects_url = \"{url}\"\nhosts_url = \"{url}\"\n{}\n",
+        opt.platform_extra
     );
     let rest = format!(
         "{platform}[lease]\nlength_ms = {}\n\n[access]\nopen = true\npeer_token = \"test\"\n\n{}",
