quota: limits of the whole cell divided among shards

Cause: every shard counted a row's limit for itself, so that three shards could hold three times the limit. Weighed: a static part for each shard (a limit of 12 over 6 shards strands most of it where nothing waits), an owner of quotas asked for each start (a call for each placement, and a stop when it is cut off), and parts that follow demand. Taken: parts in a row of the table, changed by compare-and-set; a smaller part is acknowledged only when the use is within it.

Also: a daemon that releases shards tells its region, which reads the shards at once.

--- a/crates/catkin-daemon/src/cx/mod.rs
+++ b/crates/catkin-daemon/src/cx/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
@@ -64,6 +64,8 @@
     pub live: Live,
     /// The instruments.
     pub metrics: Metrics,
+    /// Woken when shards are to be read at once.
+    pub look: Notify,
     /// Tasks that outlive the request that began them. The daemon joins them.
     pub tasks: TaskTracker,
     local: Mutex<BTreeMap<ShardId, Local>>,
@@ -88,6 +90,7 @@
             directory: watch::Sender::new(Arc::default()),
             live,
             metrics,
+            look: Notify::new(),
             tasks: TaskTracker::new(),
             local: Mutex::default(),
             draining: AtomicBool::new(false),
--- a/crates/catkin-daemon/src/daemon.rs
+++ b/crates/catkin-daemon/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::gate::Gate;
 use crate::metrics::Metrics;
-use crate::{Cx, Error, limits, peers, route, scan};
+use crate::{Cx, Error, limits, peers, quota, route, scan};
 use catkin_http::server::Drained;
 use catkin_peer::{Link, Options as PeerOptions, Peering};
 use catkin_schema::settings::Settings;
@@ -56,6 +56,7 @@
     scan: (ActorRef<scan::Message>, JoinHandle<()>),
     beats: (ActorRef<peers::Message>, JoinHandle<()>),
     poller: (ActorRef<limits::Message>, JoinHandle<()>),
+    quota: (ActorRef<quota::Message>, JoinHandle<()>),
     store: JoinHandle<()>,
 }
 
@@ -81,13 +82,25 @@
         let serving = tokio::spawn(route::serve(Arc::clone(&cx), rx));
         let beats = spawn(peers::Beats { cx: Arc::clone(&cx) }).await?;
         let poller = spawn(limits::Poller { cx: Arc::clone(&cx) }).await?;
+        let quota = spawn(quota::Quota { cx: Arc::clone(&cx) }).await?;
         let scan = spawn(scan::Scan { cx: Arc::clone(&cx) }).await?;
         listeners.http.set_nonblocking(true).change_context(Error::Listen)?;
         let listener = TcpListener::from_std(listeners.http).change_context(Error::Listen)?;
         let stop_gate = CancellationToken::new();
         let gate = tokio::spawn(Gate::new(Arc::clone(&cx)).serve(listener, stop_gate.clone()));
         tracing::info!("daemon: {} started", cx.id());
-        Ok(Self { cx, peering, gate, stop_gate, serving, scan, beats, poller, store: store_join })
+        Ok(Self {
+            cx,
+            peering,
+            gate,
+            stop_gate,
+            serving,
+            scan,
+            beats,
+            poller,
+            quota,
+            store: store_join,
+        })
     }
 
     /// The shared part.
@@ -114,7 +127,8 @@
         self.scan.0.stop(None);
         self.beats.0.stop(None);
         self.poller.0.stop(None);
-        for join in [self.scan.1, self.beats.1, self.poller.1] {
+        self.quota.0.stop(None);
+        for join in [self.scan.1, self.beats.1, self.poller.1, self.quota.1] {
             let _ = join.await;
         }
         self.peering.stop().await;
--- a/crates/catkin-daemon/src/lib.rs
+++ b/crates/catkin-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod owner;
 pub mod peers;
+pub mod quota;
 pub mod route;
 pub mod rows;
 pub mod scan;
--- a/crates/catkin-daemon/src/owner/mod.rs
+++ b/crates/catkin-daemon/src/owner/mod.rs
@@ -9,7 +9,8 @@
 
 use crate::Cx;
 use crate::cx::Entry;
-use crate::rows::{Chunk, Member};
+use crate::quota;
+use crate::rows::{Acks, Chunk, Member};
 use catkin_lease::message::{Reply, Request};
 use catkin_schema::peer::{Aggregate, Response};
 use catkin_store::hosts::Host;
@@ -49,6 +50,8 @@
     MembersWritten(Option<(u64, Vec<Member>)>),
     /// A vacant member answered.
     Back(WorkerId),
+    /// Brings the shard's parts of limits, and asks what it wants and acknowledges.
+    Parts(quota::Parts, oneshot::Sender<Acks>),
     /// Asks for the aggregate.
     Describe(oneshot::Sender<Aggregate>),
     /// Asks where the tasks of a job are.
@@ -140,6 +143,7 @@
             Message::Reread(key, version) => s.reread_done(key, version),
             Message::MembersWritten(written) => s.members_written(written),
             Message::Back(worker) => s.occupy(&worker),
+            Message::Parts(parts, tx) => drop(tx.send(s.parts(&parts))),
             Message::Describe(tx) => drop(tx.send(s.describe())),
             Message::Status(job, tx) => drop(tx.send(s.status(job))),
             Message::Explain(job, tx) => drop(tx.send(s.explain(job))),
--- a/crates/catkin-daemon/src/owner/pump.rs
+++ b/crates/catkin-daemon/src/owner/pump.rs
@@ -1,12 +1,15 @@
 //! Placing what waits: rows in order of what they are owed, gangs whole, a bounded amount of work at a time.
 
 use super::state::{State, Waiting};
+use crate::quota::{Parts, limited};
+use crate::rows::{Ack, Acks};
 use catkin_lease::owner::State as TaskState;
 use catkin_place::gang::{self, Fit};
 use catkin_place::{Ask, Outcome};
 use catkin_share::fill::{Claim, shares};
 use catkin_share::order::{Standing, compare};
 use catkin_share::preempt::{Candidate, choose};
+use catkin_types::resources::ratio;
 use catkin_types::{JobId, Resources, Row, RowName, TaskId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -121,14 +124,40 @@
         }
     }
 
-    /// Whether a row may hold `more` on top.
-    fn within_limit(&self, row: &Row, size: Resources, n: u64) -> bool {
+    /// Whether a row may start `n` tasks of that size on top, within this shard's part of its limit.
+    pub(super) fn within_limit(&self, row: &Row, size: Resources, n: u64) -> bool {
         let held = self.held.get(&row.name).copied().unwrap_or_default();
         let running = self.running.get(&row.name).copied().unwrap_or_default();
-        let after = held.saturating_add(&size.times(n));
-        let over = |after: u64, limit: u64| limit > 0 && after > limit;
-        let (a, l) = (after.as_array(), row.limit.as_array());
-        !(0..3).any(|i| over(a[i], l[i])) && !over(running + n, row.max_running)
+        self.within_part(row, &held.saturating_add(&size.times(n)), running + n)
+    }
+
+    fn within_part(&self, row: &Row, held: &Resources, running: u64) -> bool {
+        let over = |used: u64, limit: u64| limit > 0 && used > self.holdings.of(&row.name, limit);
+        let (h, l) = (held.as_array(), row.limit.as_array());
+        !(0..3).any(|i| over(h[i], l[i])) && !over(running, row.max_running)
+    }
+
+    /// Takes up the shard's parts of limits, and tells what the rows want.
+    pub(super) fn parts(&mut self, parts: &Parts) -> Acks {
+        self.holdings.take(parts);
+        let Some(table) = self.cx.table() else { return Acks::new() };
+        let mut acks = Acks::new();
+        for row in table.rows().filter(|r| limited(r)) {
+            let held = self.held.get(&row.name).copied().unwrap_or_default();
+            let running = self.running.get(&row.name).copied().unwrap_or_default();
+            // Before every worker is settled, more may run than is known.
+            let within = self.lease.settled() && self.within_part(row, &held, running);
+            let waiting = self.lanes.get(&row.name).map_or(0, |l| l.len() as u64);
+            let want = self.demand(&row.name).dominant_fraction(&row.limit);
+            let tasks =
+                if row.max_running > 0 { ratio(running + waiting, row.max_running) } else { 0.0 };
+            let (seq, want) = (self.holdings.ack(&row.name, within), want.max(tasks));
+            if seq > 0 || want > 0.0 {
+                acks.insert(row.name.clone(), Ack { seq, want });
+            }
+        }
+        self.pump_soon();
+        acks
     }
 
     fn place_one(
--- a/crates/catkin-daemon/src/owner/report.rs
+++ b/crates/catkin-daemon/src/owner/report.rs
@@ -108,13 +108,9 @@
                 "the row in the table of weights and limits".into(),
             );
         };
-        let held = self.held.get(&chunk.row).copied().unwrap_or_default();
-        if !row.limit.is_zero() && !held.saturating_add(&chunk.size).fits(&row.limit) {
-            let limit = row.limit;
-            return (
-                format!("row {} is at its limit of {limit}", row.name),
-                "a higher limit".into(),
-            );
+        if !self.within_limit(&row, chunk.size, 1) {
+            let reason = format!("row {} is at this shard's part of its limit", row.name);
+            return (reason, "a higher limit, or less work of the row elsewhere".into());
         }
         let largest = self.shelf.hosts().iter().filter(|h| h.open).map(catkin_place::Host::free);
         let largest = largest.fold(Resources::default(), |a, b| a.max(&b));
--- a/crates/catkin-daemon/src/owner/state.rs
+++ b/crates/catkin-daemon/src/owner/state.rs
@@ -2,6 +2,7 @@
 
 use super::{Begin, Message, leaving};
 use crate::Cx;
+use crate::quota::Holdings;
 use crate::rows::Chunk;
 use catkin_lease::owner::{Event, Owner, State as TaskState};
 use catkin_place::health::{Fleet, Standing};
@@ -57,6 +58,7 @@
     pub(super) members: super::members::Members,
     pub(super) open: BTreeMap<(JobId, u32), Open>,
     pub(super) lanes: BTreeMap<RowName, VecDeque<Waiting>>,
+    pub(super) holdings: Holdings,
     pub(super) held: BTreeMap<RowName, Resources>,
     pub(super) running: BTreeMap<RowName, u64>,
     pub(super) attempts: HashMap<TaskId, u64>,
@@ -87,6 +89,7 @@
             members: super::members::Members::default(),
             open: BTreeMap::new(),
             lanes: BTreeMap::new(),
+            holdings: Holdings::default(),
             held: BTreeMap::new(),
             running: BTreeMap::new(),
             attempts: HashMap::new(),
--- /dev/null
+++ b/crates/catkin-daemon/src/quota/mod.rs
@@ -0,0 +1,213 @@
+//! Limits of the whole cell, divided among shards.
+//!
+//! The parts of a limit are in a row of the table, which one daemon changes by compare-and-set and every owner reads. An
+//! owner acknowledges a smaller part only when its use is within it; only then is the difference given to another shard.
+//! So the sum of what is used is never above the limit, whoever dies or is cut off. An owner with no news keeps its part.
+
+use crate::Cx;
+use crate::cx::Local;
+use crate::rows::{self, Acks};
+use crate::{owner, slots};
+use catkin_share::grant::{Divider, Share, Told};
+use catkin_store::{Row, Txn};
+use catkin_types::{Row as LimitRow, RowName, ShardId};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Parts of one shard, by row.
+pub type Parts = BTreeMap<RowName, Told>;
+
+/// Whether a row has a limit that has to be divided.
+#[must_use]
+pub fn limited(row: &LimitRow) -> bool {
+    !row.limit.is_zero() || row.max_running > 0
+}
+
+/// What an owner holds of every limit.
+#[derive(Debug, Default)]
+pub struct Holdings {
+    shares: BTreeMap<RowName, Share>,
+    acked: BTreeMap<RowName, u64>,
+}
+
+impl Holdings {
+    /// Takes newer parts up.
+    pub fn take(&mut self, parts: &Parts) {
+        for (row, told) in parts {
+            self.shares.entry(row.clone()).or_default().take(told);
+        }
+    }
+
+    /// The shard's part of a limit of the row. 0 as long as it was told none.
+    #[must_use]
+    pub fn of(&self, row: &str, limit: u64) -> u64 {
+        self.shares.get(row).map_or(0, |s| s.of(limit))
+    }
+
+    /// The number to acknowledge: the newest if the use is within its part, else the last that it was within.
+    pub fn ack(&mut self, row: &RowName, within: bool) -> u64 {
+        let acked = self.acked.entry(row.clone()).or_default();
+        if let Some(share) = self.shares.get(row).filter(|_| within) {
+            *acked = share.seq();
+        }
+        *acked
+    }
+}
+
+/// The actor.
+pub struct Quota {
+    /// The shared part.
+    pub cx: Arc<Cx>,
+}
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum Message {
+    /// It is time to read.
+    Tick,
+}
+
+/// What was written before.
+#[derive(Debug, Default)]
+pub struct State {
+    acks: BTreeMap<ShardId, Acks>,
+}
+
+const PERIOD: Duration = Duration::from_secs(1);
+const PATIENCE: Duration = Duration::from_secs(3);
+/// How long an owner may take to answer.
+const ASK: Duration = Duration::from_millis(500);
+/// A want is written again when it changed by this factor.
+const WANT_CHANGE: f64 = 1.25;
+
+impl Actor for Quota {
+    type Msg = Message;
+    type State = State;
+    type Arguments = ();
+
+    async fn pre_start(&self, me: ActorRef<Message>, (): ()) -> Result<State, ActorProcessingErr> {
+        me.send_after(PERIOD, || Message::Tick);
+        Ok(State::default())
+    }
+
+    async fn handle(
+        &self,
+        me: ActorRef<Message>,
+        _: Message,
+        s: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        if self.any_limited()
+            && let Err(e) = self.round(s).await
+        {
+            tracing::debug!("quota: {e}");
+        }
+        me.send_after(PERIOD, || Message::Tick);
+        Ok(())
+    }
+}
+
+impl Quota {
+    fn any_limited(&self) -> bool {
+        self.cx.table().is_some_and(|t| t.rows().any(limited))
+    }
+
+    async fn round(&self, s: &mut State) -> Result<(), catkin_store::Error> {
+        let quota = self.cx.store.rows("quota/").await?;
+        let dividers: BTreeMap<RowName, (u64, Divider)> =
+            quota.iter().filter_map(divider).collect();
+        for (shard, local) in self.cx.locals() {
+            let told =
+                |(row, (_, d)): (&RowName, &(u64, Divider))| Some((row.clone(), d.told(&shard)?));
+            let parts: Parts = dividers.iter().filter_map(told).collect();
+            let Some(acks) = ask(&local, parts).await else { continue };
+            self.write_acks(s, &shard, acks).await?;
+        }
+        if self.divides() {
+            self.divide(dividers).await?;
+        }
+        Ok(())
+    }
+
+    async fn write_acks(
+        &self,
+        s: &mut State,
+        shard: &ShardId,
+        acks: Acks,
+    ) -> Result<(), catkin_store::Error> {
+        if s.acks.get(shard).is_some_and(|before| alike(before, &acks)) {
+            return Ok(());
+        }
+        let txn = Txn::default().put(format!("quota-ack/{shard}"), rows::to_json(&acks));
+        self.cx.store.commit(txn, PATIENCE).await?;
+        s.acks.insert(shard.clone(), acks);
+        Ok(())
+    }
+
+    /// Whether this daemon divides: the first live one by name. Two that think so are kept apart by compare-and-set.
+    fn divides(&self) -> bool {
+        let now = self.cx.now();
+        let before = self.cx.peers().filter(|p| p.id.as_str() < self.cx.id());
+        !self.cx.draining() && !before.into_iter().any(|p| self.cx.live.takes_shards(&p.id, now))
+    }
+
+    async fn divide(
+        &self,
+        mut dividers: BTreeMap<RowName, (u64, Divider)>,
+    ) -> Result<(), catkin_store::Error> {
+        let Some(table) = self.cx.table() else { return Ok(()) };
+        let acks: BTreeMap<ShardId, Acks> =
+            self.cx.store.rows("quota-ack/").await?.iter().filter_map(acks_of).collect();
+        let mut txn = Txn::default();
+        for row in table.rows().filter(|r| limited(r)) {
+            let (version, before) = dividers.remove(&row.name).unwrap_or_default();
+            let mut divider = before.clone();
+            let mut wanted = BTreeMap::new();
+            for (shard, acks) in &acks {
+                let Some(ack) = acks.get(&row.name) else { continue };
+                divider.acknowledge(shard, ack.seq);
+                wanted.insert(shard.clone(), ack.want);
+            }
+            divider.divide(&wanted);
+            if divider != before {
+                let key = format!("quota/{}", row.name);
+                txn = txn.check(&key, version).put(key, rows::to_json(&divider));
+            }
+        }
+        if !txn.puts.is_empty() {
+            self.cx.store.commit(txn, PATIENCE).await?;
+        }
+        Ok(())
+    }
+}
+
+fn divider(row: &Row) -> Option<(RowName, (u64, Divider))> {
+    let name = row.key.strip_prefix("quota/")?.to_owned();
+    Some((name, (row.version, rows::from_json(row)?)))
+}
+
+fn acks_of(row: &Row) -> Option<(ShardId, Acks)> {
+    Some((row.key.strip_prefix("quota-ack/")?.to_owned(), rows::from_json(row)?))
+}
+
+/// Whether nothing changed that is worth a write.
+fn alike(a: &Acks, b: &Acks) -> bool {
+    let near = |x: f64, y: f64| {
+        let (small, large) = (x.min(y), x.max(y));
+        large <= small * WANT_CHANGE
+    };
+    a.len() == b.len()
+        && a.iter().zip(b).all(|((r, x), (s, y))| r == s && x.seq == y.seq && near(x.want, y.want))
+}
+
+/// Gives an owner its parts, and hears what it wants and acknowledges.
+async fn ask(local: &Local, parts: Parts) -> Option<Acks> {
+    let (tx, rx) = oneshot::channel();
+    match local {
+        Local::Workers(a) => a.send_message(owner::Message::Parts(parts, tx)).ok()?,
+        Local::Slots(a) => a.send_message(slots::Message::Parts(parts, tx)).ok()?,
+    }
+    tokio::time::timeout(ASK, rx).await.ok()?.ok()
+}
--- a/crates/catkin-daemon/src/route/mod.rs
+++ b/crates/catkin-daemon/src/route/mod.rs
@@ -81,6 +81,10 @@
         }
         Request::JobStatus(job) => every_owner(cx, |tx| owner::Message::Status(job, tx)).await,
         Request::Explain(job) => every_owner(cx, |tx| owner::Message::Explain(job, tx)).await,
+        Request::Look => {
+            cx.look.notify_one();
+            Response::Done
+        }
         Request::Workers(shard) => ask_owner(cx, &shard, owner::Message::Workers).await,
     }
 }
--- a/crates/catkin-daemon/src/rows/mod.rs
+++ b/crates/catkin-daemon/src/rows/mod.rs
@@ -11,6 +11,8 @@
 //! | `cancel/SHARD/ID` | empty | the gate; removed by the owner |
 //! | `intent/BORROWER/ROW/KEY` | [`Intent`] | the gate |
 //! | `limits/current` | the table of weights and limits | the gate that accepts a change |
+//! | `quota/ROW` | [`catkin_share::grant::Divider`] | the daemon that divides the limit, by compare-and-set |
+//! | `quota-ack/SHARD` | [`Acks`] | the shard's owner |
 //! | `audit/DAY/TIME-N` | [`Audit`] | whoever makes the change, in the same transaction |
 
 mod bits;
@@ -22,6 +24,7 @@
 use catkin_store::hosts::{Host, Kind};
 use catkin_types::{JobId, Region, Resources, RowName, ShardId, TaskId};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// The key of the table of weights and limits.
 pub const LIMITS: &str = "limits/current";
@@ -212,6 +215,18 @@
     pub object: Option<String>,
 }
 
+/// What the owner of a shard says of its parts of limits, by row.
+pub type Acks = BTreeMap<RowName, Ack>;
+
+/// What the owner of a shard says of its part of one limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ack {
+    /// The number of the newest message within whose part the shard's use is.
+    pub seq: u64,
+    /// How much of the whole limit its running and waiting work would take.
+    pub want: f64,
+}
+
 /// An entry of the audit trail.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Audit {
--- a/crates/catkin-daemon/src/scan/mod.rs
+++ b/crates/catkin-daemon/src/scan/mod.rs
@@ -7,6 +7,7 @@
 use crate::cx::{Directory, Entry, Local};
 use crate::rows::{self, Shard};
 use crate::{Cx, owner, slots};
+use catkin_schema::peer::Request;
 use catkin_store::hosts::Host;
 use catkin_types::ShardId;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -40,12 +41,15 @@
     assigned: assign::Assigned,
     last_move: Duration,
     released: bool,
+    next: Option<JoinHandle<()>>,
 }
 
 /// Shards of other regions are read once in so many rounds.
 const FAR_ROUNDS: u32 = 8;
 /// How long after its start a daemon waits for its peers' first answers before it takes anything over.
 const SETTLE_IN: Duration = Duration::from_millis(300);
+/// How long a peer's answer to the news is awaited.
+const TELL: Duration = Duration::from_millis(300);
 /// At most one shard is handed over to its proper daemon in this time.
 const MOVE_EVERY: Duration = Duration::from_secs(5);
 
@@ -68,8 +72,7 @@
         match msg {
             Message::Tick => {
                 self.round(s).await;
-                let period = Duration::from_millis(self.cx.settings.shards.scan_ms.get());
-                me.send_after(period, || Message::Tick);
+                s.next = Some(self.wake(me));
             }
             Message::ReleaseAll(tx) => {
                 s.released = true;
@@ -77,6 +80,7 @@
                     self.release(&shard, &local).await;
                     self.stop(s, &shard, &local).await;
                 }
+                self.tell().await;
                 let _ = tx.send(());
             }
         }
@@ -88,6 +92,10 @@
         _: ActorRef<Message>,
         s: &mut State,
     ) -> Result<(), ActorProcessingErr> {
+        if let Some(next) = s.next.take() {
+            next.abort();
+            let _ = next.await;
+        }
         for (shard, local) in self.cx.locals() {
             self.stop(s, &shard, &local).await;
         }
@@ -96,6 +104,25 @@
 }
 
 impl Scan {
+    /// Brings the next tick after the period, or as soon as shards are to be read.
+    fn wake(&self, me: ActorRef<Message>) -> JoinHandle<()> {
+        let cx = Arc::clone(&self.cx);
+        tokio::spawn(async move {
+            let period = Duration::from_millis(cx.settings.shards.scan_ms.get());
+            let _ = tokio::time::timeout(period, cx.look.notified()).await;
+            let _ = me.send_message(Message::Tick);
+        })
+    }
+
+    /// Tells the region's daemons that shards changed.
+    async fn tell(&self) {
+        let here = &self.cx.settings.daemon.region;
+        let near =
+            self.cx.peers().filter(|p| p.region == *here).filter_map(|p| p.peer_addr.parse().ok());
+        let calls = near.map(|addr| self.cx.calls.call(addr, Request::Look, TELL));
+        futures::future::join_all(calls).await;
+    }
+
     async fn round(&self, s: &mut State) {
         let far = s.round.is_multiple_of(FAR_ROUNDS);
         s.round = s.round.wrapping_add(1);
@@ -195,6 +222,7 @@
         tracing::info!("scan: shard {id} goes to {proper}");
         self.release(id, local).await;
         self.stop(s, id, local).await;
+        self.tell().await;
     }
 
     async fn stop(&self, s: &mut State, id: &ShardId, local: &Local) {
--- a/crates/catkin-daemon/src/slots/mod.rs
+++ b/crates/catkin-daemon/src/slots/mod.rs
@@ -6,10 +6,13 @@
 mod executors;
 
 use crate::Cx;
+use crate::quota::{Holdings, Parts};
 use crate::route::refused;
+use crate::rows::{Ack, Acks};
 use catkin_queue::{Options, Queue, Rejected};
 use catkin_schema::peer::{Acquire, Aggregate, Permit, Refused, Release, Response};
 use catkin_store::hosts::Host;
+use catkin_types::resources::ratio;
 use catkin_types::{Code, Epoch, Resources, Row, RowName, ShardId};
 use executors::Executors;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -29,6 +32,8 @@
     Release(Release, oneshot::Sender<Response>),
     /// The host list was read, with the hosts of the shard.
     Hosts(Arc<Vec<Host>>, Vec<Host>),
+    /// Brings the shard's parts of limits, and asks what it wants and acknowledges.
+    Parts(Parts, oneshot::Sender<Acks>),
     /// Asks for the aggregate.
     Describe(oneshot::Sender<Aggregate>),
 }
@@ -52,6 +57,7 @@
     queue: Queue<Waiter>,
     granted: HashMap<u64, Granted>,
     running: BTreeMap<RowName, u64>,
+    holdings: Holdings,
     next_id: u64,
 }
 
@@ -97,6 +103,7 @@
             queue: Queue::new(Options::default()),
             granted: HashMap::new(),
             running: BTreeMap::new(),
+            holdings: Holdings::default(),
             // Numbers of different terms differ, so that a slot of an earlier term is not given back in this one.
             next_id: begin.epoch << 32,
         })
@@ -128,6 +135,11 @@
                 s.executors.update(&own, &list);
                 self.dispatch(s, now);
             }
+            Message::Parts(parts, tx) => {
+                let acks = self.parts(s, &parts);
+                self.dispatch(s, now);
+                let _ = tx.send(acks);
+            }
             Message::Describe(tx) => drop(tx.send(s.describe())),
         }
         Ok(())
@@ -157,10 +169,11 @@
     /// Gives free slots to those whose turn it is.
     fn dispatch(&self, s: &mut State, now: Duration) {
         while let Some(executor) = s.executors.pick(now) {
-            let running = &s.running;
+            let (running, holdings) = (&s.running, &s.holdings);
             let below = |name: &RowName| match self.cx.row(name) {
                 Some(row) if row.max_running > 0 => {
-                    running.get(name).copied().unwrap_or_default() < row.max_running
+                    running.get(name).copied().unwrap_or_default()
+                        < holdings.of(name, row.max_running)
                 }
                 Some(_) => true,
                 None => false,
@@ -174,6 +187,24 @@
         }
     }
 
+    /// Takes up the shard's parts of limits, and tells what the rows want.
+    fn parts(&self, s: &mut State, parts: &Parts) -> Acks {
+        s.holdings.take(parts);
+        let Some(table) = self.cx.table() else { return Acks::new() };
+        let mut acks = Acks::new();
+        for row in table.rows().filter(|r| r.max_running > 0 && !r.service.is_empty()) {
+            let running = s.running.get(&row.name).copied().unwrap_or_default();
+            let within = running <= s.holdings.of(&row.name, row.max_running);
+            let waiting = s.queue.len_of(&row.name) as u64;
+            let (seq, want) =
+                (s.holdings.ack(&row.name, within), ratio(running + waiting, row.max_running));
+            if seq > 0 || want > 0.0 {
+                acks.insert(row.name.clone(), Ack { seq, want });
+            }
+        }
+        acks
+    }
+
     fn grant(&self, s: &mut State, executor: usize, row: RowName, waiter: Waiter, now: Duration) {
         let longest =
             Duration::from_millis(self.cx.settings.gate.request_timeout_ms.get()) + PERMIT_MARGIN;
--- a/crates/catkin-schema/src/peer/decode.rs
+++ b/crates/catkin-schema/src/peer/decode.rs
@@ -41,6 +41,7 @@
             }
             request::JobStatus(job) => Self::JobStatus(job),
             request::Explain(job) => Self::Explain(job),
+            request::Look(()) => Self::Look,
             request::Workers(shard) => Self::Workers(shard?.to_string()?),
         })
     }
--- a/crates/catkin-schema/src/peer/encode.rs
+++ b/crates/catkin-schema/src/peer/encode.rs
@@ -38,6 +38,7 @@
             Self::JobStatus(job) => b.set_job_status(*job),
             Self::Explain(job) => b.set_explain(*job),
             Self::Workers(shard) => b.set_workers(shard),
+            Self::Look => b.set_look(()),
         }
     }
 }
--- a/crates/catkin-schema/src/peer/mod.rs
+++ b/crates/catkin-schema/src/peer/mod.rs
@@ -39,6 +39,8 @@
     Explain(JobId),
     /// Asks for the workers of a shard.
     Workers(ShardId),
+    /// Tells that shards changed owners, so that they are read at once.
+    Look,
 }
 
 /// The answer to a call.
--- a/crates/catkin-share/src/grant/mod.rs
+++ b/crates/catkin-share/src/grant/mod.rs
@@ -4,6 +4,7 @@
 //! shard that has no news keeps its last fraction. An increase is given only out of what was acknowledged as returned.
 
 use catkin_types::ShardId;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Parts of a limit. A whole limit is [`WHOLE`] parts.
@@ -12,7 +13,7 @@
 pub const WHOLE: Parts = 1_000_000;
 
 /// What one shard has of a limit, as the divider knows it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Holding {
     /// The most that the shard may believe it has.
     held: Parts,
@@ -33,31 +34,32 @@
     pub seq: u64,
 }
 
-/// Divides one limit.
-#[derive(Clone, Debug, Default)]
+/// Divides one limit. Written as it is to the durable row that shards read their parts from, so that whoever divides
+/// next knows the most that each shard may believe.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Divider {
     shards: BTreeMap<ShardId, Holding>,
     seq: u64,
 }
 
 impl Divider {
-    /// A divider that takes over from another and knows what it recorded durably.
-    #[must_use]
-    pub fn restore(recorded: impl IntoIterator<Item = (ShardId, Parts)>, seq: u64) -> Self {
-        let holding = |(s, p)| (s, Holding { held: p, told: p, seq });
-        Self { shards: recorded.into_iter().map(holding).collect(), seq }
-    }
-
     /// The most that all shards together may believe they have.
     #[must_use]
     pub fn held(&self) -> Parts {
         self.shards.values().map(|h| h.held).sum()
     }
 
-    /// What each shard may believe at most. This is recorded before an increase is told.
+    /// What a shard was told last.
     #[must_use]
-    pub fn record(&self) -> BTreeMap<ShardId, Parts> {
-        self.shards.iter().map(|(s, h)| (s.clone(), h.held)).collect()
+    pub fn told(&self, shard: &str) -> Option<Told> {
+        let h = self.shards.get(shard)?;
+        Some(Told { shard: shard.to_owned(), parts: h.told, seq: h.seq })
+    }
+
+    /// Whether nobody holds anything.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.held() == 0
     }
 
     /// Aims at parts in proportion to `wanted`. Decreases are told at once, increases as far as parts are free.
@@ -91,7 +93,7 @@
         Some(Told { shard: shard.clone(), parts, seq: self.seq })
     }
 
-    /// Notes that the shard took the message of that number.
+    /// Notes that the shard took the message of that number, and uses no more than it was told.
     pub fn acknowledge(&mut self, shard: &str, seq: u64) {
         if let Some(h) = self.shards.get_mut(shard).filter(|h| h.seq == seq) {
             h.held = h.told;
@@ -99,22 +101,17 @@
     }
 }
 
-/// Parts in proportion to what is wanted, with a little for everybody, so that no shard starts from nothing.
+/// Parts in proportion to what is wanted. A shard that wants nothing gets nothing, so that small limits are not cut into
+/// parts that hold no task.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
-    clippy::cast_precision_loss,
     reason = "the result is at most WHOLE"
 )]
 fn aims(wanted: &BTreeMap<ShardId, f64>) -> BTreeMap<ShardId, Parts> {
-    const BASE: f64 = 0.05;
-    let n = wanted.len() as f64;
     let sum: f64 = wanted.values().sum();
-    let part = |w: f64| if sum > 0.0 { BASE / n + (1.0 - BASE) * w / sum } else { 1.0 / n };
-    wanted
-        .iter()
-        .map(|(s, w)| (s.clone(), (part(*w) * f64::from(WHOLE)).floor() as Parts))
-        .collect()
+    let part = |w: f64| if sum > 0.0 { (w / sum * f64::from(WHOLE)).floor() as Parts } else { 0 };
+    wanted.iter().map(|(s, w)| (s.clone(), part(*w))).collect()
 }
 
 /// What a shard holds of a limit.
@@ -133,6 +130,12 @@
         self.seq
     }
 
+    /// The number of the message that it was told by.
+    #[must_use]
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
     /// The part.
     #[must_use]
     pub fn parts(&self) -> Parts {
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -22,6 +22,7 @@
     jobStatus @7 :UInt64;       # the job
     explain @8 :UInt64;         # the job
     workers @9 :Text;           # the shard
+    look @10 :Void;             # shards changed: read them now
   }
 }
 
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limits;
 mod outage;
+mod quota;
 mod rolling;
 mod takeover;
 mod view;
