Tests of the decision crates, the store, messages and settings

Found: three failures in a row did not reach the quarantine's bound of 3, because old counts decay (2.85); a worker that fails everything took a fourth task. The bound is 2.5 now, and the test's 'at most 3 losses' holds.

--- a/crates/catkin-place/src/health/mod.rs
+++ b/crates/catkin-place/src/health/mod.rs
@@ -8,7 +8,7 @@
 /// The settings of a [`Fleet`].
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// How many failures it takes before a worker is suspected.
+    /// How many failures, old ones counting less, it takes before a worker is suspected: three in a row are 2.85.
     pub min_failures: f64,
     /// How many times the fleet's failure rate is suspect.
     pub ratio: f64,
@@ -27,7 +27,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            min_failures: 3.0,
+            min_failures: 2.5,
             ratio: 4.0,
             min_rate: 0.5,
             max_fraction: 0.1,
--- /dev/null
+++ b/crates/catkin-place/tests/place/health.rs
@@ -0,0 +1,62 @@
+//! Bad workers and bad jobs.
+
+use catkin_place::health::{Fleet, Options, Standing};
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn fleet(n: usize) -> Fleet {
+    let mut f = Fleet::new(Options::default());
+    (0..n).for_each(|i| f.add(&format!("w{i}")));
+    f
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_out_after_few_losses_and_tried_again_later() {
+    let mut f = fleet(40);
+    let mut losses = 0;
+    for job in 0..100 {
+        for i in 1..40 {
+            f.ended(&format!("w{i}"), job, true, NOW);
+        }
+        if f.standing("w0", NOW) == Standing::Good {
+            f.ended(&"w0".into(), job, false, NOW);
+            losses += 1;
+        }
+    }
+    assert!(losses <= 3, "{losses}");
+    assert_eq!(f.standing("w0", NOW), Standing::Quarantined);
+    let later = NOW + Options::default().quarantine;
+    assert_eq!(f.standing("w0", later), Standing::Probation);
+    f.ended(&"w0".into(), 100, false, later);
+    assert_eq!(f.standing("w0", later), Standing::Quarantined);
+    let later = later + Options::default().quarantine;
+    f.ended(&"w0".into(), 101, true, later);
+    assert_eq!(f.standing("w0", later), Standing::Good);
+}
+
+#[test]
+fn a_job_that_fails_everywhere_blames_no_worker() {
+    let mut f = fleet(20);
+    for i in 0..20 {
+        for _ in 0..5 {
+            f.ended(&format!("w{i}"), 7, false, NOW);
+        }
+    }
+    assert!(f.job_to_blame(7));
+    let out = (0..20).filter(|i| f.standing(&format!("w{i}"), NOW) != Standing::Good).count();
+    assert_eq!(out, 0);
+}
+
+#[test]
+fn no_more_than_the_fraction_is_ever_quarantined() {
+    bolero::check!().with_type::<Vec<(u8, u8, bool)>>().for_each(|ends| {
+        let mut f = fleet(20);
+        for (w, job, ok) in ends {
+            f.ended(&format!("w{}", w % 20), u64::from(*job), *ok, NOW);
+            let out =
+                (0..20).filter(|i| f.standing(&format!("w{i}"), NOW) != Standing::Good).count();
+            assert!(out <= 2, "{out}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/catkin-queue/tests/queue/main.rs
@@ -0,0 +1,4 @@
+//! Tests of admission and order.
+
+mod budget;
+mod order;
--- /dev/null
+++ b/crates/catkin-schema/tests/schema/main.rs
@@ -0,0 +1,4 @@
+//! Tests of messages and settings.
+
+mod peer;
+mod settings;
--- /dev/null
+++ b/crates/catkin-schema/tests/schema/peer.rs
@@ -0,0 +1,97 @@
+//! Messages between daemons read back, and any bytes are read or refused.
+
+use capnp::message::{Builder, ReaderOptions};
+use capnp::serialize;
+use catkin_schema::peer::{Acquire, Aggregate, Beat, Permit, Refused, Release, Request, Response};
+use catkin_schema::peer_capnp::{request, response};
+use catkin_types::Resources;
+use std::time::Duration;
+
+fn beat() -> Beat {
+    let shard = Aggregate {
+        shard: "r/z/workers/0".into(),
+        epoch: 3,
+        free: Resources::new(1, 2, 3),
+        waiting: 4,
+        largest: Resources::new(5, 6, 7),
+    };
+    Beat {
+        daemon: "d".into(),
+        incarnation: 9,
+        limits_version: 8,
+        draining: true,
+        shards: vec![shard],
+    }
+}
+
+#[test]
+fn requests_read_back() {
+    let acquire = Acquire {
+        shard: "s".into(),
+        row: "r".into(),
+        request_id: "i".into(),
+        wait: Duration::from_millis(5),
+    };
+    let all = [
+        Request::Beat(beat()),
+        Request::PushLimits(b"{}".to_vec()),
+        Request::PullLimits(7),
+        Request::Acquire(acquire),
+        Request::Release(Release { shard: "s".into(), id: 1, healthy: true }),
+        Request::Offer { shard: "s".into(), job: 2 },
+        Request::Cancel { shard: "s".into(), jobs: vec![1, 2, 3] },
+        Request::JobStatus(4),
+        Request::Explain(5),
+        Request::Workers("s".into()),
+        Request::Look,
+    ];
+    for req in all {
+        let mut message = Builder::new_default();
+        req.encode(message.init_root());
+        let read = message.get_root_as_reader::<request::Reader<'_>>().expect("a message");
+        assert_eq!(Request::decode(read).expect("a request"), req);
+    }
+}
+
+#[test]
+fn responses_read_back() {
+    let refused =
+        Refused { code: 3000, retry_after: Duration::from_millis(9), message: "full".into() };
+    let permit = Permit { id: 1, target: "a:1".into(), expires: Duration::from_secs(1) };
+    let all = [
+        Response::Beat(beat()),
+        Response::Version(3),
+        Response::Limits(vec![]),
+        Response::Permit(permit),
+        Response::Done,
+        Response::Refused(refused),
+        Response::Text(b"[]".to_vec()),
+    ];
+    for res in all {
+        let mut message = Builder::new_default();
+        res.encode(message.init_root());
+        let read = message.get_root_as_reader::<response::Reader<'_>>().expect("a message");
+        assert_eq!(Response::decode(read).expect("a response"), res);
+    }
+}
+
+/// A whole message in which some bytes were changed.
+#[test]
+fn any_bytes_are_read_or_refused() {
+    let mut message = Builder::new_default();
+    Request::Beat(beat()).encode(message.init_root());
+    let good = serialize::write_message_to_words(&message);
+    bolero::check!().with_type::<Vec<(u16, u8)>>().for_each(|changes| {
+        let mut bytes = good.clone();
+        for (at, value) in changes {
+            let at = usize::from(*at) % bytes.len();
+            bytes[at] = *value;
+        }
+        let Ok(read) = serialize::read_message(&mut bytes.as_slice(), ReaderOptions::default())
+        else {
+            return;
+        };
+        let Ok(root) = read.get_root::<request::Reader<'_>>() else { return };
+        let _ = Request::decode(root);
+    });
+}
--- /dev/null
+++ b/crates/catkin-schema/tests/schema/settings.rs
@@ -0,0 +1,79 @@
+//! Settings: defaults, and what is told of bad ones.
+
+use catkin_schema::settings::{
+    Access, Gate, Lease, Limits, Log, Settings, Shards, effective, parse,
+};
+use std::fmt::Write;
+use std::path::Path;
+
+const GOOD: &str = r#"
+[daemon]
+id = "a"
+region = "r"
+zone = "z"
+http_listen = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+
+[platform]
+table_url = "http://127.0.0.1:3"
+objects_url = "http://127.0.0.1:3"
+hosts_url = "http://127.0.0.1:3"
+"#;
+
+fn good() -> Settings {
+    parse("good", GOOD).expect("good settings")
+}
+
+/// The generator takes defaults from two places, which have to agree.
+#[test]
+fn defaults_of_sections_agree() {
+    let s = good();
+    let same = |a: String, b: String| assert_eq!(a, b);
+    same(format!("{:?}", s.gate), format!("{:?}", Gate::default()));
+    same(format!("{:?}", s.lease), format!("{:?}", Lease::default()));
+    same(format!("{:?}", s.limits), format!("{:?}", Limits::default()));
+    same(format!("{:?}", s.shards), format!("{:?}", Shards::default()));
+    same(format!("{:?}", s.access), format!("{:?}", Access::default()));
+    same(format!("{:?}", s.log), format!("{:?}", Log::default()));
+}
+
+#[test]
+fn effective_values_have_their_sources() {
+    let lines = effective(&good(), GOOD);
+    let of = |key: &str| lines.iter().find(|e| e.key == key).map(|e| e.source);
+    assert_eq!(of("daemon.id"), Some("file"));
+    assert_eq!(of("lease.length_ms"), Some("default"));
+}
+
+/// A folder of bad settings, each with the sentence that it gets.
+#[test]
+fn bad_settings_name_file_line_and_key() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/schema/bad");
+    let mut files: Vec<_> =
+        std::fs::read_dir(folder).expect("a folder").map(|e| e.expect("a file").path()).collect();
+    files.sort();
+    let mut text = String::new();
+    for file in files {
+        let name = file.file_name().expect("a name").to_string_lossy().into_owned();
+        let content = std::fs::read_to_string(&file).expect("text");
+        let problems = parse(&name, &content).expect_err(&name);
+        for p in problems {
+            writeln!(text, "{p}").expect("memory");
+        }
+    }
+    insta::assert_snapshot!("bad_settings", text);
+}
+
+#[test]
+fn any_text_is_read_or_refused() {
+    bolero::check!().with_type::<Vec<(u16, u8)>>().for_each(|changes| {
+        let mut bytes = GOOD.as_bytes().to_vec();
+        for (at, value) in changes {
+            let at = usize::from(*at) % bytes.len();
+            bytes[at] = *value;
+        }
+        if let Ok(text) = std::str::from_utf8(&bytes) {
+            let _ = parse("any", text);
+        }
+    });
+}
--- /dev/null
+++ b/crates/catkin-store/tests/store/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the platform's client.
+
+mod batch;
+mod commit;
--- /dev/null
+++ b/crates/catkin-types/tests/types/main.rs
@@ -0,0 +1,5 @@
+//! Tests of ids, resources and result codes.
+
+mod code;
+mod id;
+mod resources;
