Holds: small work no longer starves a gang

Seen: with 14,000 one-processor tasks waiting on 128 processors, a gang of 100 had not started after 60 s (test gang::small_work_does_not_starve_a_gang, failing). Cause: the row of the gang came first in order, was blocked for want of 100 free processors, and rows after it filled every processor that came free. Ruled out: preemption (it looks at one task's need on one worker). Weighed: reserving named workers for the gang (idles them for as long as their longest task), backfill by run time (run times are not known), and a bounded time in which only the gang's row and urgent rows get new work.

--- a/crates/catkin-daemon/src/owner/pump.rs
+++ b/crates/catkin-daemon/src/owner/pump.rs
@@ -10,6 +10,7 @@
 use catkin_share::order::{Standing, compare};
 use catkin_share::preempt::{Candidate, choose};
 use catkin_types::resources::ratio;
+use catkin_types::row::Urgency;
 use catkin_types::{JobId, Resources, Row, RowName, TaskId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -32,7 +33,7 @@
         let mut blocked: BTreeSet<RowName> = BTreeSet::new();
         let mut placed = 0;
         while placed < MAX_PER_TURN {
-            let Some(name) = self.next_row(&total, &share, &blocked, |n| table.get(n)) else {
+            let Some(name) = self.next_row(&total, &share, &blocked, now, |n| table.get(n)) else {
                 break;
             };
             let Some(row) = table.get(&name) else {
@@ -40,8 +41,14 @@
                 continue;
             };
             match self.place_next(row, now) {
-                0 => drop(blocked.insert(name)),
-                n => placed += n,
+                0 => {
+                    self.consider_hold(row, &share, now);
+                    blocked.insert(name);
+                }
+                n => {
+                    self.hold.placed(&name);
+                    placed += n;
+                }
             }
         }
         if placed >= MAX_PER_TURN {
@@ -54,6 +61,20 @@
         self.send(sends);
     }
 
+    /// Lets room gather for a row below its share whose next work does not fit. The first blocked row in order has it.
+    fn consider_hold(&mut self, row: &Row, share: &BTreeMap<RowName, Resources>, now: Duration) {
+        let Some(first) = self.lanes.get(&row.name).and_then(|l| l.front().copied()) else {
+            return;
+        };
+        let held = self.held.get(&row.name).copied().unwrap_or_default();
+        let below = share.get(&row.name).is_some_and(|s| held != *s && held.fits(s));
+        let Some(chunk) = self.chunk_of(first.task).map(|(_, o)| &o.chunk) else { return };
+        let n = if chunk.gang { u64::from(chunk.len()) } else { 1 };
+        if below && self.within_limit(row, chunk.size, n) {
+            self.hold.consider(&row.name, now.saturating_sub(first.since), now);
+        }
+    }
+
     /// The fair share of each row that holds or wants something.
     fn shares(
         &self,
@@ -90,9 +111,16 @@
         total: &Resources,
         share: &BTreeMap<RowName, Resources>,
         blocked: &BTreeSet<RowName>,
+        now: Duration,
         row: impl Fn(&str) -> Option<&'a Row>,
     ) -> Option<RowName> {
-        let waiting = self.lanes.iter().filter(|(n, l)| !l.is_empty() && !blocked.contains(*n));
+        let holder = self.hold.row(now);
+        let let_in = |n: &RowName| {
+            let urgent = || row(n).is_some_and(|r| r.urgency == Urgency::Urgent);
+            holder.is_none_or(|h| h == n) || urgent()
+        };
+        let waiting =
+            self.lanes.iter().filter(|(n, l)| !l.is_empty() && !blocked.contains(*n) && let_in(n));
         let standing = |name: &RowName| {
             let row = row(name)?;
             let held = self.held.get(name).copied().unwrap_or_default();
--- a/crates/catkin-daemon/src/owner/state.rs
+++ b/crates/catkin-daemon/src/owner/state.rs
@@ -7,6 +7,7 @@
 use catkin_lease::owner::{Event, Owner, State as TaskState};
 use catkin_place::health::{Fleet, Standing};
 use catkin_place::{Host as Place, Shelf};
+use catkin_share::hold::Hold;
 use catkin_store::hosts::Host;
 use catkin_types::{JobId, Resources, RowName, ShardId, TaskId, WorkerId};
 use ractor::ActorRef;
@@ -62,6 +63,7 @@
     pub(super) held: BTreeMap<RowName, Resources>,
     pub(super) running: BTreeMap<RowName, u64>,
     pub(super) attempts: HashMap<TaskId, u64>,
+    pub(super) hold: Hold,
     pub(super) health: Fleet,
     pub(super) io: JoinSet<()>,
     pub(super) pump_due: bool,
@@ -93,6 +95,7 @@
             held: BTreeMap::new(),
             running: BTreeMap::new(),
             attempts: HashMap::new(),
+            hold: Hold::new(catkin_share::hold::Options::default()),
             health: Fleet::new(catkin_place::health::Options::default()),
             io: JoinSet::new(),
             pump_due: false,
--- a/crates/catkin-share/src/lib.rs
+++ b/crates/catkin-share/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod fill;
 pub mod grant;
+pub mod hold;
 pub mod order;
 pub mod preempt;
--- a/crates/catkin-share/tests/share/main.rs
+++ b/crates/catkin-share/tests/share/main.rs
@@ -2,5 +2,6 @@
 
 mod fill;
 mod grant;
+mod hold;
 mod order;
 mod preempt;
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod at_most_once;
+mod gang;
 mod leaving;
 mod limits;
 mod outage;
