--- a/crates/catkin-daemon/src/owner/pump.rs
+++ b/crates/catkin-daemon/src/owner/pump.rs
@@ -13,10 +13,13 @@
 use catkin_types::row::Urgency;
 use catkin_types::{JobId, Resources, Row, RowName, TaskId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How many tasks are placed in one turn of the actor.
 const MAX_PER_TURN: usize = 512;
+/// How long shares stay in force.
+const SHARES_EVERY: Duration = Duration::from_millis(200);
 /// How long a row that is owed more waits before others' tasks are stopped for it, and between two such rounds.
 const PREEMPT_EVERY: Duration = Duration::from_millis(500);
 
@@ -29,7 +32,8 @@
         }
         let Some(table) = self.cx.table() else { return };
         let total = self.shelf.capacity();
-        let share = self.shares(&total, |name| table.get(name).cloned());
+        self.refresh_shares(&total, now, |name| table.get(name).cloned());
+        let share = Arc::clone(&self.share);
         let mut blocked: BTreeSet<RowName> = BTreeSet::new();
         let mut placed = 0;
         while placed < MAX_PER_TURN {
@@ -75,6 +79,21 @@
         }
     }
 
+    /// Computes the shares anew, if they are old or a row has none.
+    fn refresh_shares(
+        &mut self,
+        total: &Resources,
+        now: Duration,
+        row: impl Fn(&str) -> Option<Row>,
+    ) {
+        let unknown =
+            |(n, l): (&RowName, &VecDeque<Waiting>)| !l.is_empty() && !self.share.contains_key(n);
+        if now >= self.share_until || self.lanes.iter().any(unknown) {
+            self.share = Arc::new(self.shares(total, row));
+            self.share_until = now + SHARES_EVERY;
+        }
+    }
+
     /// The fair share of each row that holds or wants something.
     fn shares(
         &self,
--- a/crates/catkin-daemon/src/slots/mod.rs
+++ b/crates/catkin-daemon/src/slots/mod.rs
@@ -9,10 +9,12 @@
 use crate::quota::{Holdings, Parts};
 use crate::route::refused;
 use crate::rows::{Ack, Acks};
+use catkin_limits::Table;
 use catkin_queue::{Options, Queue, Rejected};
 use catkin_schema::peer::{Acquire, Aggregate, Permit, Refused, Release, Response};
 use catkin_store::hosts::Host;
 use catkin_types::resources::ratio;
+use catkin_types::row::Urgency;
 use catkin_types::{Code, Epoch, Resources, Row, RowName, ShardId};
 use executors::Executors;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -78,6 +80,8 @@
     pub cx: Arc<Cx>,
 }
 
+/// One slot in so many is left to urgent rows below their share.
+const RESERVE_PART: u64 = 50;
 /// How often waits and permits are looked at.
 const TICK: Duration = Duration::from_millis(20);
 /// How much longer a permit lasts than the longest request.
@@ -168,16 +172,12 @@
 
     /// Gives free slots to those whose turn it is.
     fn dispatch(&self, s: &mut State, now: Duration) {
+        let Some(table) = self.cx.table() else { return };
         while let Some(executor) = s.executors.pick(now) {
-            let (running, holdings) = (&s.running, &s.holdings);
-            let below = |name: &RowName| match self.cx.row(name) {
-                Some(row) if row.max_running > 0 => {
-                    running.get(name).copied().unwrap_or_default()
-                        < holdings.of(name, row.max_running)
-                }
-                Some(_) => true,
-                None => false,
-            };
+            let usage =
+                Usage { executors: &s.executors, running: &s.running, holdings: &s.holdings };
+            let below =
+                |name: &RowName| table.get(name).is_some_and(|row| usage.admits(row, &table));
             let Some((name, waiter)) = s.queue.take(now, below) else { return };
             if waiter.tx.is_closed() {
                 continue;
@@ -220,6 +220,32 @@
     }
 }
 
+/// What is taken of the shard's slots.
+struct Usage<'a> {
+    executors: &'a Executors,
+    running: &'a BTreeMap<RowName, u64>,
+    holdings: &'a Holdings,
+}
+
+impl Usage<'_> {
+    /// Whether a row may have the next slot: it is within its limit, and leaves the last few slots to urgent rows that
+    /// are below their share, so that these need not wait for an end.
+    fn admits(&self, row: &Row, table: &Table) -> bool {
+        let running = self.running.get(&row.name).copied().unwrap_or_default();
+        if row.max_running > 0 && running >= self.holdings.of(&row.name, row.max_running) {
+            return false;
+        }
+        let slots = self.executors.slots();
+        if self.executors.free() > slots / RESERVE_PART {
+            return true;
+        }
+        let same = table.rows().filter(|r| r.service == row.service);
+        let weights: u64 = same.map(|r| u64::from(r.weight)).sum();
+        let share = slots * u64::from(row.weight) / weights.max(1);
+        row.urgency == Urgency::Urgent && running < share
+    }
+}
+
 impl State {
     fn release(&mut self, req: &Release, now: Duration) {
         let Some(granted) = self.granted.get(&req.id) else { return };
--- a/crates/catkin-queue/src/lib.rs
+++ b/crates/catkin-queue/src/lib.rs
@@ -108,14 +108,21 @@
         runnable: impl Fn(&RowName) -> bool,
     ) -> Option<(RowName, T)> {
         let name = self.next_row(runnable)?;
-        let lane = self.lanes.get_mut(&name)?;
-        let start = lane.start_tag();
-        let item = lane.pop(now)?;
-        self.virtual_time = self.virtual_time.max(start);
+        self.virtual_time = self.virtual_time.max(self.least_tag());
+        let item = self.lanes.get_mut(&name)?.pop(now)?;
         self.len -= 1;
         Some((name, item))
     }
 
+    /// The start tag of the row that is furthest behind. A row that was idle starts there.
+    fn least_tag(&self) -> f64 {
+        self.waiting().map(|(_, l)| l.start_tag()).fold(f64::INFINITY, f64::min)
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = (&RowName, &Lane<T>)> {
+        self.lanes.iter().filter(|(_, l)| l.len() > 0)
+    }
+
     /// Drops every entry that `dead` names, in one pass, and returns them.
     pub fn remove(&mut self, dead: impl Fn(&T) -> bool) -> Vec<T> {
         let mut out = Vec::new();
@@ -136,21 +143,19 @@
         out
     }
 
-    /// The row with the least start tag; an urgent row is let ahead by a bounded lead.
+    /// The row with the least start tag; urgent rows are let ahead by a bounded lead.
     fn next_row(&self, runnable: impl Fn(&RowName) -> bool) -> Option<RowName> {
-        let waiting = self.lanes.iter().filter(|(n, l)| l.len() > 0 && runnable(n));
-        let tag = |l: &Lane<T>| l.start_tag() - self.lead(l);
-        let best = waiting.min_by(|a, b| tag(a.1).total_cmp(&tag(b.1)));
+        let weights: f64 = self.waiting().map(|(_, l)| l.weight()).sum();
+        // The same virtual time for every urgent row, so that a flood of one has no lead over the others.
+        let lead = self.opt.urgent_lead / weights.max(1.0);
+        let tag = |l: &Lane<T>| match l.urgency() {
+            Urgency::Urgent => l.start_tag() - lead,
+            Urgency::Normal | Urgency::Low => l.start_tag(),
+        };
+        let runnable = self.waiting().filter(|(n, _)| runnable(n));
+        let best = runnable.min_by(|a, b| tag(a.1).total_cmp(&tag(b.1)));
         best.map(|(n, _)| n.clone())
     }
-
-    /// The lead counts in the row's own share of the virtual time, so that it is the same work for any weight.
-    fn lead(&self, lane: &Lane<T>) -> f64 {
-        match lane.urgency() {
-            Urgency::Urgent => self.opt.urgent_lead / lane.weight(),
-            Urgency::Normal | Urgency::Low => 0.0,
-        }
-    }
 }
 
 /// The shortest time after which a rejected caller is told to come again.
