lease: a renewal's pace follows what happens; probes of peers are bounded

Now a worker is asked again 100 ms after a start or an end, then four times later each time, up to 3 s; a daemon probes four peers of its region a round in turn, and its patience grows with the turns.

--- a/crates/catkin-bench/benches/measures/main.rs
+++ b/crates/catkin-bench/benches/measures/main.rs
@@ -1,5 +1,12 @@
 //! Prints every figure of docs/MEASURES.md that is made without running daemons, as tables with seeds.
 
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures of short runs are far below 2^52"
+)]
+
 mod faults;
 mod flood;
 mod lease;
--- a/crates/catkin-daemon/src/cx/mod.rs
+++ b/crates/catkin-daemon/src/cx/mod.rs
@@ -197,6 +197,7 @@
             autonomy: ms(l.autonomy_ms),
             drift_ppm: l.drift_ppm,
             renew_every: ms(l.renew_ms),
+            busy_every: ms(l.busy_ms),
             timeout: ms(l.timeout_ms),
         }
     }
--- a/crates/catkin-daemon/src/peers/mod.rs
+++ b/crates/catkin-daemon/src/peers/mod.rs
@@ -4,7 +4,7 @@
 use crate::cx::Local;
 use crate::{limits, owner, slots};
 use catkin_schema::peer::{Aggregate, Beat, Request, Response};
-use catkin_schema::settings::Settings;
+use catkin_schema::settings::{Peer, Settings};
 use catkin_types::{DaemonId, ShardId};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::collections::BTreeMap;
@@ -31,6 +31,9 @@
     heard: Mutex<BTreeMap<DaemonId, Heard>>,
 }
 
+/// How many daemons of the region, and of the others, are probed in one round. With more, a daemon's turn comes more
+/// rarely and patience with it grows as much, so that the bytes stay the same.
+const MAX_PROBES: usize = 4;
 /// Probes of other regions are this many times rarer, and patience with them as much longer.
 const FAR_FACTOR: u32 = 4;
 
@@ -55,8 +58,15 @@
     }
 
     fn patience(&self, id: &str) -> Duration {
-        let near = self.regions.get(id).is_none_or(|r| *r == self.region);
-        if near { self.suspect } else { self.suspect * FAR_FACTOR }
+        let region = self.regions.get(id).unwrap_or(&self.region);
+        let near = *region == self.region;
+        let among = self
+            .regions
+            .iter()
+            .filter(|(p, r)| **p != self.me && (**r == self.region) == near)
+            .count();
+        let rounds = u32::try_from(among.div_ceil(MAX_PROBES)).unwrap_or(1).max(1);
+        self.suspect * rounds * if near { 1 } else { FAR_FACTOR }
     }
 
     /// Whether the daemon was heard lately.
@@ -175,11 +185,8 @@
         while round.probes.try_join_next().is_some() {}
         let beat = own_beat(&self.cx).await;
         self.cx.live.heard(beat.clone(), self.cx.now());
-        for peer in self.cx.peers() {
+        for peer in self.due(round.n) {
             let near = peer.region == self.cx.settings.daemon.region;
-            if !near && !round.n.is_multiple_of(FAR_FACTOR) {
-                continue;
-            }
             let Ok(addr) = peer.peer_addr.parse() else { continue };
             let timeout = if near { period * 2 } else { period * 2 * FAR_FACTOR };
             round.probes.spawn(probe(Arc::clone(&self.cx), addr, beat.clone(), timeout));
@@ -199,6 +206,27 @@
     }
 }
 
+impl Beats {
+    /// The peers to probe in a round: a bounded number of the region's, in turn, and now and then of the others.
+    fn due(&self, n: u32) -> Vec<&Peer> {
+        let here = &self.cx.settings.daemon.region;
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+            self.cx.peers().partition(|p| p.region == *here);
+        let mut due = in_turn(&near, n);
+        if n.is_multiple_of(FAR_FACTOR) {
+            due.extend(in_turn(&far, n / FAR_FACTOR));
+        }
+        due
+    }
+}
+
+/// The next few of a list, so that all of it comes up in equal turns.
+fn in_turn<'a>(peers: &[&'a Peer], n: u32) -> Vec<&'a Peer> {
+    let count = peers.len().min(MAX_PROBES);
+    let first = n as usize * MAX_PROBES;
+    (0..count).map(|k| peers[(first + k) % peers.len()]).collect()
+}
+
 async fn probe(cx: Arc<Cx>, addr: SocketAddr, beat: Beat, timeout: Duration) {
     let answer = cx.calls.call(addr, Request::Beat(beat), timeout).await;
     if let Ok(Response::Beat(theirs)) = answer {
--- a/crates/catkin-daemon/src/slots/mod.rs
+++ b/crates/catkin-daemon/src/slots/mod.rs
@@ -80,8 +80,6 @@
     pub cx: Arc<Cx>,
 }
 
-/// One slot in so many is left to urgent rows below their share.
-const RESERVE_PART: u64 = 50;
 /// How often waits and permits are looked at.
 const TICK: Duration = Duration::from_millis(20);
 /// How much longer a permit lasts than the longest request.
@@ -220,6 +218,11 @@
     }
 }
 
+/// How many slots are left to urgent rows below their share: half of the square root, as for staff on call.
+fn reserve(slots: u64) -> u64 {
+    (slots / 4).isqrt().max(u64::from(slots > 1))
+}
+
 /// What is taken of the shard's slots.
 struct Usage<'a> {
     executors: &'a Executors,
@@ -236,7 +239,7 @@
             return false;
         }
         let slots = self.executors.slots();
-        if self.executors.free() > slots / RESERVE_PART {
+        if self.executors.free() > reserve(slots) {
             return true;
         }
         let same = table.rows().filter(|r| r.service == row.service);
--- a/crates/catkin-lease/src/lib.rs
+++ b/crates/catkin-lease/src/lib.rs
@@ -24,6 +24,9 @@
     pub drift_ppm: u32,
     /// How often a worker's lease is renewed when there is nothing else to send.
     pub renew_every: Duration,
+    /// How soon a worker is asked again after tasks started or ended there. The time grows with each answer that brings
+    /// nothing new, up to `renew_every`.
+    pub busy_every: Duration,
     /// How long an answer is awaited before the message counts as lost.
     pub timeout: Duration,
 }
@@ -34,7 +37,8 @@
             length: Duration::from_secs(10),
             autonomy: Duration::from_mins(65),
             drift_ppm: 1_000,
-            renew_every: Duration::from_secs(2),
+            renew_every: Duration::from_secs(3),
+            busy_every: Duration::from_millis(100),
             timeout: Duration::from_secs(1),
         }
     }
--- a/crates/catkin-lease/src/owner/link.rs
+++ b/crates/catkin-lease/src/owner/link.rs
@@ -6,6 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// How much later a worker is asked again after an answer that brought nothing new.
+const PACE_FACTOR: u32 = 4;
+
 /// How far the owner has got with a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) enum Phase {
@@ -40,6 +43,8 @@
     pub inflight: Option<Inflight>,
     pub stamp: Option<Stamp>,
     pub next_at: Duration,
+    /// The time to the next command if this one brings nothing new.
+    pub pace: Duration,
     pub capacity: Resources,
     pub observed: Resources,
     pub leaving: bool,
@@ -63,6 +68,7 @@
             inflight: None,
             stamp: None,
             next_at: Duration::ZERO,
+            pace: Duration::ZERO,
             capacity: Resources::default(),
             observed: Resources::default(),
             leaving: false,
@@ -128,6 +134,13 @@
         tasks
     }
 
+    /// Asks sooner after news, and later after none.
+    pub fn keep_pace(&mut self, news: bool, now: Duration, opt: &Options) {
+        self.pace = if news { opt.busy_every } else { self.pace * PACE_FACTOR };
+        self.pace = self.pace.clamp(opt.busy_every, opt.renew_every);
+        self.next_at = now.saturating_add(self.pace);
+    }
+
     /// Drops the message that was not answered in time.
     pub fn time_out(&mut self, now: Duration, opt: &Options) {
         let Some(inflight) = self.inflight else { return };
@@ -182,7 +195,10 @@
         incarnation: Incarnation,
         opt: &Options,
     ) -> Command {
-        self.next_at = now.saturating_add(opt.renew_every);
+        if !self.starts.is_empty() {
+            self.pace = opt.busy_every;
+        }
+        self.next_at = now.saturating_add(self.pace);
         let stamp = self.stamp.map_or(Duration::ZERO, |s| s.worker);
         Command {
             epoch,
--- a/crates/catkin-lease/src/owner/reconcile.rs
+++ b/crates/catkin-lease/src/owner/reconcile.rs
@@ -79,6 +79,7 @@
         }
         link.leaving = r.leaving;
         link.acks.clear();
+        link.keep_pace(!r.ended.is_empty(), now, &self.opt);
         if let Phase::Heard { incarnation, .. } = link.phase {
             link.phase = Phase::Claimed { incarnation };
             link.next_at = now;
--- a/crates/catkin-lease/tests/lease/interleave.rs
+++ b/crates/catkin-lease/tests/lease/interleave.rs
@@ -18,6 +18,7 @@
         autonomy: s(3),
         drift_ppm: DRIFT_BOUND,
         renew_every: s(1),
+        busy_every: s(1),
         timeout: s(1),
     }
 }
--- a/crates/catkin-schema/src/settings/check.rs
+++ b/crates/catkin-schema/src/settings/check.rs
@@ -72,6 +72,9 @@
             format!("it has to be at most half of lease.length_ms, {most}"),
         );
     }
+    if l.busy_ms > l.renew_ms {
+        put(found, "lease.busy_ms", "it has to be at most lease.renew_ms");
+    }
     if l.timeout_ms > l.length_ms {
         put(found, "lease.timeout_ms", "it has to be at most lease.length_ms");
     }
