--- a/crates/catkin-bench/examples/live/deployment.rs
+++ b/crates/catkin-bench/examples/live/deployment.rs
@@ -2,11 +2,10 @@
 
 use crate::Result;
 use catkin_http::Client;
-use catkin_standin::Serving;
 use catkin_standin::executor::{Executor, Options as ExecutorOptions};
 use catkin_standin::platform::Platform;
 use catkin_standin::worker::{Options as WorkerOptions, Worker};
-use catkin_store::hosts::{Host, Kind, State};
+use catkin_standin::{Place, Serving, listed};
 use hyper::Method;
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -53,21 +52,23 @@
     pub async fn start(program: &Path, workers: u64) -> Result<Self> {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let platform = Platform::new();
+        let place = Place { region: "north".into(), zone: "north-a".into(), rack: "rack-0".into() };
         let mut stand_ins = vec![platform.serve(any).await?];
         let url = format!("http://{}", stand_ins[0].addr);
         for n in 0..workers {
             let serving = Worker::new(n + 1, WorkerOptions::default()).serve(any).await?;
-            platform.put_hosts([host(&format!("w{n}"), Kind::Worker, "", &serving)]);
+            platform.put_hosts([listed(&format!("w{n}"), "", 0, &place, &serving)]);
             stand_ins.push(serving);
         }
         for service in ["main", "other", "third"] {
             for n in 0..EXECUTORS {
                 let opt = ExecutorOptions { slots: SLOTS, ..ExecutorOptions::default() };
                 let serving = Executor::new(opt).serve(any).await?;
-                platform.put_hosts([host(
+                platform.put_hosts([listed(
                     &format!("{service}-{n}"),
-                    Kind::Executor,
                     service,
+                    SLOTS,
+                    &place,
                     &serving,
                 )]);
                 stand_ins.push(serving);
@@ -225,17 +226,3 @@
     let number = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
     Ok(((number(11) + number(12)) / TICKS_PER_SECOND, number(21) * PAGE / f64::from(1 << 20)))
 }
-
-fn host(id: &str, kind: Kind, service: &str, serving: &Serving) -> Host {
-    Host {
-        id: id.to_owned(),
-        kind,
-        service: service.to_owned(),
-        region: "north".into(),
-        zone: "north-a".into(),
-        rack: "rack-0".into(),
-        addr: serving.addr.to_string(),
-        slots: SLOTS,
-        state: State::Live,
-    }
-}
--- /dev/null
+++ b/crates/catkin-daemon/src/gate/jobs/status.rs
@@ -0,0 +1,143 @@
+//! Where a job is, and why it waits.
+
+use super::CALL;
+use crate::gate::{Answered, Caller, Failure, Gate};
+use crate::route;
+use crate::rows::{self, Chunk, Job};
+use catkin_http::body;
+use catkin_schema::peer::{Request as PeerRequest, Response as PeerResponse};
+use catkin_store::Error as StoreError;
+use catkin_types::id::parse_job;
+use catkin_types::{Code, JobId, ShardId};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Gate {
+    pub(super) async fn job(
+        &self,
+        caller: &Caller,
+        id: &str,
+    ) -> Result<(JobId, Job, u64), Failure> {
+        let unknown = || Failure::new(Code::NOT_FOUND, format!("there is no job {id}"));
+        let number = parse_job(id).ok_or_else(unknown)?;
+        let row = self.cx.store.row(&format!("job/{id}")).await;
+        let row =
+            row.map_err(|e| Failure::new(Code::STORE_DOWN, e.to_string()))?.ok_or_else(unknown)?;
+        let job = rows::from_json::<Job>(&row).ok_or_else(|| Failure::of(Code::INTERNAL))?;
+        // Whether a job of another borrower exists is nobody's business.
+        if !caller.may_see(&job.borrower) {
+            return Err(unknown());
+        }
+        Ok((number, job, row.version))
+    }
+
+    pub(in crate::gate) async fn status(&self, caller: &Caller, id: &str) -> Answered {
+        let (number, job, _) = self.job(caller, id).await?;
+        let chunks =
+            self.chunks(&job).await.map_err(|e| Failure::new(Code::STORE_DOWN, e.to_string()))?;
+        let places = self.ask_owners(&job, |_| PeerRequest::JobStatus(number)).await;
+        Ok(body::json(200, &Status::of(&job, &chunks, &places)))
+    }
+
+    /// The chunks of a job, wherever they are.
+    async fn chunks(&self, job: &Job) -> Result<Vec<Chunk>, StoreError> {
+        let ended = self.cx.store.rows(&format!("ended/{}/", job.id)).await?;
+        let mut found: BTreeMap<u32, Chunk> =
+            ended.iter().filter_map(rows::from_json::<Chunk>).map(|c| (c.from, c)).collect();
+        let shards: BTreeSet<&ShardId> =
+            job.chunks.iter().filter(|p| !found.contains_key(&p.from)).map(|p| &p.shard).collect();
+        for shard in shards {
+            let open = self.cx.store.rows(&format!("chunk/{shard}/{}/", job.id)).await?;
+            found.extend(open.iter().filter_map(rows::from_json::<Chunk>).map(|c| (c.from, c)));
+        }
+        Ok(found.into_values().collect())
+    }
+
+    /// Asks each owner of a part of the job once.
+    async fn ask_owners(
+        &self,
+        job: &Job,
+        req: impl Fn(&ShardId) -> PeerRequest,
+    ) -> Vec<serde_json::Value> {
+        let directory = self.cx.directory.borrow().clone();
+        let shards: BTreeSet<&ShardId> = job.chunks.iter().map(|p| &p.shard).collect();
+        let mut owners: BTreeMap<String, &ShardId> = BTreeMap::new();
+        for shard in shards {
+            if let Some(entry) = directory.get(shard) {
+                owners.insert(entry.shard.term.owner.clone(), shard);
+            }
+        }
+        let mut out = Vec::new();
+        for shard in owners.values() {
+            if let Ok(PeerResponse::Text(json)) =
+                route::call(&self.cx, shard, req(shard), CALL).await
+            {
+                out.extend(
+                    serde_json::from_slice::<Vec<serde_json::Value>>(&json).unwrap_or_default(),
+                );
+            }
+        }
+        out
+    }
+
+    pub(in crate::gate) async fn explain(&self, caller: &Caller, id: &str) -> Answered {
+        let (number, job, _) = self.job(caller, id).await?;
+        let mut reasons = self.ask_owners(&job, |_| PeerRequest::Explain(number)).await;
+        let chunks =
+            self.chunks(&job).await.map_err(|e| Failure::new(Code::STORE_DOWN, e.to_string()))?;
+        for chunk in chunks.iter().filter(|c| !c.reason.is_empty()) {
+            reasons.push(
+                serde_json::json!({ "row": chunk.row, "reason": chunk.reason, "would_help": "" }),
+            );
+        }
+        Ok(body::json(200, &reasons))
+    }
+}
+
+/// What a caller is told of a job.
+#[derive(Debug, Serialize)]
+struct Status {
+    job: String,
+    row: String,
+    state: &'static str,
+    tasks: u32,
+    ended: u32,
+    failed: u32,
+    waiting: u64,
+    running: u64,
+    #[serde(skip_serializing_if = "String::is_empty")]
+    reason: String,
+}
+
+impl Status {
+    fn of(job: &Job, chunks: &[Chunk], places: &[serde_json::Value]) -> Self {
+        let sum = |field: &str| places.iter().filter_map(|p| p.get(field)?.as_u64()).sum::<u64>();
+        let ended = chunks.iter().map(|c| c.ended.count()).sum();
+        let failed = chunks.iter().map(|c| c.failed.count()).sum();
+        let complete = chunks.len() == job.chunks.len() && chunks.iter().all(Chunk::complete);
+        let running = sum("running");
+        let state = match (complete, job.cancelled) {
+            (true, true) => "cancelled",
+            (true, false) if failed > 0 => "failed",
+            (true, false) => "done",
+            (false, true) => "cancelling",
+            (false, false) if running > 0 || ended > 0 => "running",
+            (false, false) => "waiting",
+        };
+        Self {
+            job: job.id.clone(),
+            row: job.row.clone(),
+            state,
+            tasks: job.tasks,
+            ended,
+            failed,
+            waiting: sum("waiting") + sum("held"),
+            running,
+            reason: chunks
+                .iter()
+                .map(|c| c.reason.clone())
+                .find(|r| !r.is_empty())
+                .unwrap_or_default(),
+        }
+    }
+}
--- a/crates/catkin-standin/examples/fleet.rs
+++ b/crates/catkin-standin/examples/fleet.rs
@@ -2,10 +2,9 @@
 //! line `host NAME ADDRESS` for each, then `ready`.
 
 use catkin_http::Client;
-use catkin_standin::Serving;
 use catkin_standin::executor::{Executor, Options as ExecutorOptions};
 use catkin_standin::worker::{Options as WorkerOptions, Worker};
-use catkin_store::hosts::{Host, Kind, State};
+use catkin_standin::{Place, listed};
 use catkin_types::Resources;
 use clap::Parser;
 use hyper::Method;
@@ -71,7 +70,7 @@
         };
         let serving = Worker::new(incarnation + n, opt).serve(any).await?;
         let rack = format!("{}-rack-{}", args.zone, n / args.per_rack.max(1));
-        hosts.push(host(&args, &format!("{}-w{n}", args.zone), Kind::Worker, "", &rack, &serving));
+        hosts.push(listed(&format!("{}-w{n}", args.zone), "", 0, &place(&args, &rack), &serving));
         running.push(serving);
     }
     for service in &args.service {
@@ -79,7 +78,7 @@
             let opt = ExecutorOptions { slots: args.slots, ..ExecutorOptions::default() };
             let serving = Executor::new(opt).serve(any).await?;
             let id = format!("{}-{service}-{n}", args.zone);
-            hosts.push(host(&args, &id, Kind::Executor, service, "", &serving));
+            hosts.push(listed(&id, service, args.slots, &place(&args, ""), &serving));
             running.push(serving);
         }
     }
@@ -96,16 +95,6 @@
     Ok(())
 }
 
-fn host(args: &Args, id: &str, kind: Kind, service: &str, rack: &str, serving: &Serving) -> Host {
-    Host {
-        id: id.to_owned(),
-        kind,
-        service: service.to_owned(),
-        region: args.region.clone(),
-        zone: args.zone.clone(),
-        rack: rack.to_owned(),
-        addr: serving.addr.to_string(),
-        slots: args.slots,
-        state: State::Live,
-    }
+fn place(args: &Args, rack: &str) -> Place {
+    Place { region: args.region.clone(), zone: args.zone.clone(), rack: rack.to_owned() }
 }
--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod worker;
 
 use catkin_http::{Body, server};
+use catkin_store::hosts::{Host, Kind, State};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::net::SocketAddr;
@@ -64,5 +65,32 @@
     pairs.filter(|(k, _)| *k == name).map(|(_, v)| v.to_owned()).next()
 }
 
+/// Where hosts stand, for the host list.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    /// The region.
+    pub region: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The rack.
+    pub rack: String,
+}
+
+/// The entry of a stand-in in the host list. `service` is empty for a worker.
+#[must_use]
+pub fn listed(id: &str, service: &str, slots: u32, place: &Place, serving: &Serving) -> Host {
+    Host {
+        id: id.to_owned(),
+        kind: if service.is_empty() { Kind::Worker } else { Kind::Executor },
+        service: service.to_owned(),
+        region: place.region.clone(),
+        zone: place.zone.clone(),
+        rack: place.rack.clone(),
+        addr: serving.addr.to_string(),
+        slots,
+        state: State::Live,
+    }
+}
+
 /// The largest body that a stand-in takes, in bytes.
 pub const MAX_BODY: u64 = 64 << 20;
--- a/src/bin/catkincartd/dev.rs
+++ b/src/bin/catkincartd/dev.rs
@@ -5,11 +5,10 @@
 use catkin_client::Args;
 use catkin_daemon::{Daemon, Listeners};
 use catkin_schema::settings::{self, Settings};
-use catkin_standin::Serving;
 use catkin_standin::executor::{Executor, Options as ExecutorOptions};
 use catkin_standin::platform::Platform;
 use catkin_standin::worker::{Options as WorkerOptions, Worker};
-use catkin_store::hosts::{Host, Kind, State};
+use catkin_standin::{Place, Serving, listed};
 use clap::Parser;
 use error_stack::{Report, ResultExt};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -56,17 +55,18 @@
 ) -> std::io::Result<()> {
     for n in 0..WORKERS {
         let serving = Worker::new(n + 1, WorkerOptions::default()).serve(any).await?;
-        platform.put_hosts([host(&format!("worker-{n}"), Kind::Worker, "", &serving)]);
+        platform.put_hosts([listed(&format!("worker-{n}"), "", 0, &place(), &serving)]);
         stand_ins.push(serving);
     }
     for service in ["shop-main", "coop-main"] {
         for n in 0..EXECUTORS {
             let opt = ExecutorOptions { slots: SLOTS, ..ExecutorOptions::default() };
             let serving = Executor::new(opt).serve(any).await?;
-            platform.put_hosts([host(
+            platform.put_hosts([listed(
                 &format!("{service}-{n}"),
-                Kind::Executor,
                 service,
+                SLOTS,
+                &place(),
                 &serving,
             )]);
             stand_ins.push(serving);
@@ -75,18 +75,8 @@
     Ok(())
 }
 
-fn host(id: &str, kind: Kind, service: &str, serving: &Serving) -> Host {
-    Host {
-        id: id.to_owned(),
-        kind,
-        service: service.to_owned(),
-        region: REGION.into(),
-        zone: ZONE.into(),
-        rack: "rack-0".into(),
-        addr: serving.addr.to_string(),
-        slots: SLOTS,
-        state: State::Live,
-    }
+fn place() -> Place {
+    Place { region: REGION.into(), zone: ZONE.into(), rack: "rack-0".into() }
 }
 
 /// Settings for one daemon that anybody on this machine may use.
--- a/tests/faults/gang.rs
+++ b/tests/faults/gang.rs
@@ -9,6 +9,12 @@
 const BOUND: Duration = Duration::from_secs(15);
 const GANG: usize = 100;
 
+/// Tasks of one processor and little memory.
+fn job(d: &Deployment, row: &str, program: &str, tasks: &str, more: &[&str]) -> String {
+    let args = [row, program, "--tasks", tasks, "--cpu-milli", "1000", "--memory-mib", "16"];
+    submit(d, 0, &[&args, more].concat())
+}
+
 #[test]
 fn small_work_does_not_starve_a_gang_and_the_gang_starts_whole() {
     let d = Deployment::start(&Options {
@@ -17,53 +23,12 @@
         ..Options::default()
     });
     // 128 processors: the small tasks alone take more than 40 s.
-    let small = submit(
-        &d,
-        0,
-        &[
-            "coop-cuts",
-            "sleep 400",
-            "--tasks",
-            "14000",
-            "--cpu-milli",
-            "1000",
-            "--memory-mib",
-            "16",
-        ],
-    );
+    let small = job(&d, "coop-cuts", "sleep 400", "14000", &[]);
     until(&d, 0, &small, "state", &json!("running"));
     let since = Instant::now();
-    let gang = submit(
-        &d,
-        0,
-        &[
-            "coop-patterns",
-            "sleep 300",
-            "--tasks",
-            "100",
-            "--cpu-milli",
-            "1000",
-            "--memory-mib",
-            "16",
-            "--gang",
-        ],
-    );
+    let gang = job(&d, "coop-patterns", "sleep 300", "100", &["--gang"]);
     // A second gang at the same time takes its turn after the first.
-    let other = submit(
-        &d,
-        0,
-        &[
-            "shop-plans",
-            "sleep 300",
-            "--tasks",
-            "100",
-            "--cpu-milli",
-            "1000",
-            "--memory-mib",
-            "16",
-            "--gang",
-        ],
-    );
+    let other = job(&d, "shop-plans", "sleep 300", "100", &["--gang"]);
     for job in [&gang, &other] {
         until(&d, 0, job, "state", &json!("done"));
     }
--- a/tests/faults/leaving.rs
+++ b/tests/faults/leaving.rs
@@ -21,6 +21,8 @@
     let (worker, worker_addr) = d.hosts("-w0").remove(0);
     let (said, said_addr) = d.hosts("-w1").remove(0);
     let (executor, executor_addr) = d.hosts("shop-main-0").remove(0);
+    // The list lags a second behind, also when the sign is given.
+    d.fault("{\"hosts_lag_ms\":1000}");
     // One worker and one executor leave by the platform's list, another worker by its own word.
     let (_, list) = exchange(platform, "GET", "/v1/hosts", "").expect("the list");
     let mut hosts: Vec<serde_json::Value> = serde_json::from_str(&list).expect("JSON");
