scan: the host list by region and less often

Cause: every daemon read the whole list each 500 ms: by its size (about 200 bytes a host) some 40 KB/s at 100 hosts, more than all of its control may cost, and it was in no metric. Now it reads its region's part each 1.5 s (and that of regions without a live daemon), and bytes to and from the platform are on the page of metrics. Leaving targets still get nothing new after 3 s with a list that lags a second (test faults leaving).

--- a/crates/catkin-bench/examples/live/deployment.rs
+++ b/crates/catkin-bench/examples/live/deployment.rs
@@ -30,6 +30,7 @@
     pub worker_bytes: f64,
     pub zone_bytes: f64,
     pub far_bytes: f64,
+    pub platform_bytes: f64,
     pub reads: f64,
     pub transactions: f64,
     pub rows: f64,
@@ -170,6 +171,8 @@
                     + of("catkin_worker_received_bytes", ""),
                 zone_bytes: peers("link=\"zone\""),
                 far_bytes: peers("link=\"between_regions\""),
+                platform_bytes: of("catkin_platform_sent_bytes", "")
+                    + of("catkin_platform_received_bytes", ""),
                 reads: of("catkin_table_reads", ""),
                 transactions: of("catkin_table_transactions", ""),
                 rows: of("catkin_table_rows", ""),
--- a/crates/catkin-bench/examples/live/main.rs
+++ b/crates/catkin-bench/examples/live/main.rs
@@ -53,7 +53,7 @@
     let before = d.usage().await?;
     tokio::time::sleep(span).await;
     let after = d.usage().await?;
-    let columns = "| daemon | processor, % of a core | memory, MiB | worker messages/s | worker bytes/s | peer bytes/s in zone | between regions | table reads/s | transactions/s |";
+    let columns = "| daemon | processor, % of a core | memory, MiB | worker messages/s | worker bytes/s | peer bytes/s in zone | between regions | platform bytes/s | table reads/s | transactions/s |";
     heading(
         &format!("Idle, {workers} workers and 12 executors in one region, three daemons"),
         columns,
@@ -61,7 +61,7 @@
     for (b, a) in before.iter().zip(&after) {
         let rate = |f: fn(&deployment::Usage) -> f64| (f(a) - f(b)) / span.as_secs_f64();
         println!(
-            "| {} | {:.2} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.1} | {:.2} |",
+            "| {} | {:.2} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | {:.0} | {:.1} | {:.2} |",
             a.id,
             rate(|u| u.cpu_s) * 100.0,
             a.memory_mib,
@@ -69,6 +69,7 @@
             rate(|u| u.worker_bytes),
             rate(|u| u.zone_bytes),
             rate(|u| u.far_bytes),
+            rate(|u| u.platform_bytes),
             rate(|u| u.reads),
             rate(|u| u.transactions),
         );
--- a/crates/catkin-daemon/src/daemon.rs
+++ b/crates/catkin-daemon/src/daemon.rs
@@ -213,6 +213,13 @@
     let traffic = Arc::clone(cx.workers.traffic());
     cx.metrics
         .observe("catkin_worker_messages", None, move || traffic.exchanges.load(Ordering::Relaxed));
+    let traffic = Arc::clone(cx.store.traffic());
+    cx.metrics
+        .observe("catkin_platform_sent_bytes", None, move || traffic.sent.load(Ordering::Relaxed));
+    let traffic = Arc::clone(cx.store.traffic());
+    cx.metrics.observe("catkin_platform_received_bytes", None, move || {
+        traffic.received.load(Ordering::Relaxed)
+    });
     let store = cx.store.clone();
     cx.metrics.observe("catkin_table_transactions", None, move || {
         store.counts().transactions.load(Ordering::Relaxed)
--- a/crates/catkin-daemon/src/gate/admin.rs
+++ b/crates/catkin-daemon/src/gate/admin.rs
@@ -8,6 +8,7 @@
 use catkin_types::Code;
 use hyper::Response;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const CALL: Duration = Duration::from_secs(1);
@@ -79,8 +80,17 @@
 
     pub(super) async fn hosts(&self, caller: &Caller) -> Answered {
         caller.need_operator()?;
-        let hosts = self.cx.store.hosts().await;
-        let hosts = hosts.map_err(|e| Failure::new(Code::STORE_DOWN, e.to_string()))?;
+        let regions = self.cx.settings.peers.iter().map(|p| &p.region).chain([&self
+            .cx
+            .settings
+            .daemon
+            .region]);
+        let regions: BTreeSet<&String> = regions.collect();
+        let mut hosts = Vec::new();
+        for region in regions {
+            let list = self.cx.store.hosts(region).await;
+            hosts.extend(list.map_err(|e| Failure::new(Code::STORE_DOWN, e.to_string()))?);
+        }
         Ok(body::json(200, &hosts))
     }
 
--- a/crates/catkin-daemon/src/scan/assign.rs
+++ b/crates/catkin-daemon/src/scan/assign.rs
@@ -97,7 +97,7 @@
     }
 
     /// Whether this daemon stands in for a region without live daemons.
-    fn proper_for_region(&self, region: &str) -> bool {
+    pub(super) fn proper_for_region(&self, region: &str) -> bool {
         let now = self.cx.now();
         !self.cx.peers().any(|p| p.region == region && self.cx.live.takes_shards(&p.id, now))
     }
--- a/crates/catkin-daemon/src/scan/mod.rs
+++ b/crates/catkin-daemon/src/scan/mod.rs
@@ -12,7 +12,7 @@
 use catkin_types::ShardId;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use sha2::{Digest, Sha256};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -46,6 +46,8 @@
 
 /// Shards of other regions are read once in so many rounds.
 const FAR_ROUNDS: u32 = 8;
+/// The host list is read once in so many rounds.
+const HOSTS_ROUNDS: u32 = 3;
 /// How long after its start a daemon waits for its peers' first answers before it takes anything over.
 const SETTLE_IN: Duration = Duration::from_millis(300);
 /// How long a peer's answer to the news is awaited.
@@ -136,10 +138,24 @@
             Ok(list) => self.read(s, &prefix, &list, asked).await,
             Err(e) => tracing::debug!("scan: shards could not be read: {e}"),
         }
-        match self.cx.store.hosts().await {
-            Ok(hosts) => self.hosts(s, Arc::new(hosts)).await,
-            Err(e) => tracing::debug!("scan: the host list could not be read: {e}"),
+        if s.round % HOSTS_ROUNDS == 1 {
+            match self.read_hosts().await {
+                Ok(hosts) => self.hosts(s, Arc::new(hosts)).await,
+                Err(e) => tracing::debug!("scan: the host list could not be read: {e}"),
+            }
+        }
+    }
+
+    /// The hosts of this region, and of those that have no live daemon.
+    async fn read_hosts(&self) -> Result<Vec<Host>, catkin_store::Error> {
+        let here = &self.cx.settings.daemon.region;
+        let all: BTreeSet<&String> =
+            self.cx.settings.peers.iter().map(|p| &p.region).chain([here]).collect();
+        let mut hosts = Vec::new();
+        for region in all.into_iter().filter(|r| *r == here || self.proper_for_region(r)) {
+            hosts.extend(self.cx.store.hosts(region).await?);
         }
+        Ok(hosts)
     }
 
     /// Takes up the rows of shards, which were asked for at `asked`.
--- a/crates/catkin-standin/src/platform/mod.rs
+++ b/crates/catkin-standin/src/platform/mod.rs
@@ -141,7 +141,12 @@
         match (&head.method, path.as_str()) {
             (&Method::PUT, "/fault") => self.put_faults(&bytes),
             (&Method::GET, "/taken") => body::json(200, &self.taken()),
-            (&Method::GET, "/v1/hosts") => body::json(200, &self.hosts()),
+            (&Method::GET, "/v1/hosts") => {
+                let region = query(&head.uri, "region");
+                let mut hosts = self.hosts();
+                hosts.retain(|h| region.as_ref().is_none_or(|r| h.region == *r));
+                body::json(200, &hosts)
+            }
             (&Method::POST, "/v1/hosts") => self.post_hosts(&bytes),
             (&Method::DELETE, "/v1/hosts") => self.delete_hosts(&bytes),
             (method, path) => {
--- a/crates/catkin-store/src/commit/mod.rs
+++ b/crates/catkin-store/src/commit/mod.rs
@@ -8,6 +8,7 @@
 use crate::{Options, batch, hosts, objects, table};
 use bytes::Bytes;
 use catkin_http::Client;
+use catkin_http::client::Traffic;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -279,12 +280,18 @@
         table::row(&self.http, &self.opt.table_url, key, self.opt.timeout).await
     }
 
-    /// Reads the host list.
+    /// Reads the host list of a region.
     ///
     /// # Errors
     /// As [`hosts::list`].
-    pub async fn hosts(&self) -> Result<Vec<Host>, Error> {
-        hosts::list(&self.http, &self.opt.hosts_url, self.opt.timeout).await
+    pub async fn hosts(&self, region: &str) -> Result<Vec<Host>, Error> {
+        hosts::list(&self.http, &self.opt.hosts_url, region, self.opt.timeout).await
+    }
+
+    /// The bytes that went to the platform and came from it.
+    #[must_use]
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        self.http.traffic()
     }
 
     /// Writes an object.
--- a/crates/catkin-store/src/hosts/mod.rs
+++ b/crates/catkin-store/src/hosts/mod.rs
@@ -50,10 +50,15 @@
     pub state: State,
 }
 
-/// Reads the list.
+/// Reads the list of one region.
 ///
 /// # Errors
 /// [`Error::Down`] or [`Error::Malformed`].
-pub async fn list(http: &Client, url: &str, timeout: Duration) -> Result<Vec<Host>, Error> {
-    Ok(http.get(&format!("{url}/v1/hosts"), timeout).await?)
+pub async fn list(
+    http: &Client,
+    url: &str,
+    region: &str,
+    timeout: Duration,
+) -> Result<Vec<Host>, Error> {
+    Ok(http.get(&format!("{url}/v1/hosts?region={region}"), timeout).await?)
 }
