--- a/crates/catkin-http/src/client/mod.rs
+++ b/crates/catkin-http/src/client/mod.rs
@@ -4,8 +4,8 @@
 use crate::error::Error;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
-use hyper::{Method, Request, Response};
+use hyper::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -160,6 +160,43 @@
         self.read_json(Method::GET, url, Bytes::new(), timeout).await
     }
 
+    /// Reads a JSON answer, unless it is still the one that came with `tag`. Returns the new tag and the answer.
+    ///
+    /// # Errors
+    /// As [`Client::json`].
+    pub async fn get_if_changed<R: DeserializeOwned>(
+        &self,
+        url: &str,
+        tag: Option<&str>,
+        timeout: Duration,
+    ) -> Result<Option<(Option<String>, R)>, Error> {
+        let mut req = Request::get(url);
+        if let Some(tag) = tag {
+            req = req.header(IF_NONE_MATCH, tag);
+        }
+        let req = req.body(body::empty()).map_err(|e| Error::NotSent(e.to_string()))?;
+        self.traffic.exchanges.fetch_add(1, Ordering::Relaxed);
+        let whole = async {
+            let res = self.send(req, timeout).await?;
+            let tag = res.headers().get(ETAG).and_then(|t| t.to_str().ok()).map(str::to_owned);
+            let status = res.status();
+            Ok((status, tag, body::read(res.into_body(), self.opt.max_answer).await?))
+        };
+        let late = || Error::Lost(format!("no whole answer within {} ms", timeout.as_millis()));
+        let (status, tag, bytes) =
+            tokio::time::timeout(timeout, whole).await.map_err(|_| late())??;
+        self.traffic.received.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        if status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        if !status.is_success() {
+            let body = String::from_utf8_lossy(&bytes).into_owned();
+            return Err(Error::Status { status: status.as_u16(), body });
+        }
+        let value = serde_json::from_slice(&bytes).map_err(|e| Error::Malformed(e.to_string()))?;
+        Ok(Some((tag, value)))
+    }
+
     async fn read_json<R: DeserializeOwned>(
         &self,
         method: Method,
--- a/crates/catkin-standin/src/platform/mod.rs
+++ b/crates/catkin-standin/src/platform/mod.rs
@@ -7,9 +7,11 @@
 use catkin_http::{Body, body};
 use catkin_store::hosts::Host;
 use hyper::body::Incoming;
+use hyper::header::{ETAG, HeaderMap, HeaderValue, IF_NONE_MATCH};
 use hyper::{Method, Request, Response};
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -145,7 +147,7 @@
                 let region = query(&head.uri, "region");
                 let mut hosts = self.hosts();
                 hosts.retain(|h| region.as_ref().is_none_or(|r| h.region == *r));
-                body::json(200, &hosts)
+                tagged(&head.headers, &hosts)
             }
             (&Method::POST, "/v1/hosts") => self.post_hosts(&bytes),
             (&Method::DELETE, "/v1/hosts") => self.delete_hosts(&bytes),
@@ -266,3 +268,17 @@
         }
     }
 }
+
+/// The list with a tag of its content, or 304 if the caller has the one of that tag.
+fn tagged(headers: &HeaderMap, hosts: &[Host]) -> Response<Body> {
+    let bytes = serde_json::to_vec(hosts).unwrap_or_default();
+    let mut hasher = DefaultHasher::new();
+    bytes.hash(&mut hasher);
+    let tag = format!("\"{:016x}\"", hasher.finish());
+    let same = headers.get(IF_NONE_MATCH).is_some_and(|t| t.as_bytes() == tag.as_bytes());
+    let mut res = if same { body::text(304, "") } else { body::text(200, bytes) };
+    if let Ok(tag) = HeaderValue::from_str(&tag) {
+        res.headers_mut().insert(ETAG, tag);
+    }
+    res
+}
--- a/crates/catkin-store/src/commit/mod.rs
+++ b/crates/catkin-store/src/commit/mod.rs
@@ -213,6 +213,7 @@
     http: Client,
     actor: ActorRef<Message>,
     counts: Arc<Counts>,
+    lists: Arc<hosts::Cache>,
 }
 
 impl Store {
@@ -227,7 +228,7 @@
         let committer =
             Committer { opt: Arc::clone(&opt), http: http.clone(), counts: Arc::clone(&counts) };
         let (actor, handle) = Actor::spawn(None, committer, ()).await?;
-        Ok((Self { opt, http, actor, counts }, handle))
+        Ok((Self { opt, http, actor, counts, lists: Arc::default() }, handle))
     }
 
     /// Stops the actor.
@@ -285,7 +286,7 @@
     /// # Errors
     /// As [`hosts::list`].
     pub async fn hosts(&self, region: &str) -> Result<Vec<Host>, Error> {
-        hosts::list(&self.http, &self.opt.hosts_url, region, self.opt.timeout).await
+        hosts::list(&self.http, &self.opt.hosts_url, region, &self.lists, self.opt.timeout).await
     }
 
     /// The bytes that went to the platform and came from it.
--- a/crates/catkin-store/src/hosts/mod.rs
+++ b/crates/catkin-store/src/hosts/mod.rs
@@ -3,6 +3,8 @@
 use crate::error::Error;
 use catkin_http::Client;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// What a host is for.
@@ -50,7 +52,31 @@
     pub state: State,
 }
 
-/// Reads the list of one region.
+/// A list and the tag that it came with.
+#[derive(Clone, Debug, Default)]
+struct Tagged {
+    tag: Option<String>,
+    hosts: Vec<Host>,
+}
+
+/// The lists that were read last, by region.
+#[derive(Debug, Default)]
+pub struct Cache {
+    lists: Mutex<BTreeMap<String, Tagged>>,
+}
+
+impl Cache {
+    fn get(&self, region: &str) -> Option<Tagged> {
+        self.lists.lock().unwrap_or_else(PoisonError::into_inner).get(region).cloned()
+    }
+
+    fn put(&self, region: &str, list: Tagged) {
+        let mut lists = self.lists.lock().unwrap_or_else(PoisonError::into_inner);
+        lists.insert(region.to_owned(), list);
+    }
+}
+
+/// Reads the list of one region. One that has not changed does not travel again.
 ///
 /// # Errors
 /// [`Error::Down`] or [`Error::Malformed`].
@@ -58,7 +84,16 @@
     http: &Client,
     url: &str,
     region: &str,
+    cache: &Cache,
     timeout: Duration,
 ) -> Result<Vec<Host>, Error> {
-    Ok(http.get(&format!("{url}/v1/hosts?region={region}"), timeout).await?)
+    let url = format!("{url}/v1/hosts?region={region}");
+    let known = cache.get(region).unwrap_or_default();
+    let Some((tag, hosts)) =
+        http.get_if_changed::<Vec<Host>>(&url, known.tag.as_deref(), timeout).await?
+    else {
+        return Ok(known.hosts);
+    };
+    cache.put(region, Tagged { tag, hosts: hosts.clone() });
+    Ok(hosts)
 }
