--- a/crates/catkin-client/src/commands/limits.rs
+++ b/crates/catkin-client/src/commands/limits.rs
@@ -192,7 +192,7 @@
     by: Option<String>,
     day: Option<u64>,
 ) -> Result<Exit, Error> {
-    let params = [("row", row), ("by", by), ("day", day.map(|d| d.to_string()))];
+    let params = [("row", row.clone()), ("by", by), ("day", day.map(|d| d.to_string()))];
     let query: Vec<String> =
         params.into_iter().filter_map(|(k, v)| Some(format!("{k}={}", v?))).collect();
     let entries: Vec<Value> = cx.servers.get(&format!("/v1/audit?{}", query.join("&"))).await?;
@@ -200,7 +200,9 @@
         output::json(cx.out, &Value::Array(entries))?;
         return Ok(Exit::Done);
     }
-    let lines: Vec<Value> = entries.iter().flat_map(audit_lines).collect();
+    // An entry may have changed other rows as well.
+    let wanted = |l: &Value| row.as_ref().is_none_or(|r| l["subject"] == **r);
+    let lines: Vec<Value> = entries.iter().flat_map(audit_lines).filter(wanted).collect();
     output::list(
         cx.out,
         cx.form,
--- a/crates/catkin-daemon/src/metrics/mod.rs
+++ b/crates/catkin-daemon/src/metrics/mod.rs
@@ -18,7 +18,6 @@
     answers: Counter<u64>,
     placements: Counter<u64>,
     lost: Counter<u64>,
-    control: Counter<u64>,
     takeovers: Counter<u64>,
 }
 
@@ -49,7 +48,6 @@
             answers: counter("catkin_answers"),
             placements: counter("catkin_placements"),
             lost: counter("catkin_tasks_lost"),
-            control: counter("catkin_control_bytes"),
             takeovers: counter("catkin_takeovers"),
             registry,
             provider,
@@ -78,11 +76,6 @@
         self.lost.add(1, &[KeyValue::new("row", row.to_owned())]);
     }
 
-    /// Notes bytes of control traffic.
-    pub fn control(&self, part: &'static str, bytes: u64) {
-        self.control.add(bytes, &[KeyValue::new("part", part)]);
-    }
-
     /// Notes that a shard was taken over.
     pub fn takeover(&self) {
         self.takeovers.add(1, &[]);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -130,6 +130,8 @@
     /// Lines that are added to the section of the platform.
     pub platform_extra: String,
     pub lease_ms: u64,
+    /// The section of access.
+    pub access: &'static str,
 }
 
 impl Default for Options {
@@ -142,6 +144,7 @@
             extra: String::new(),
             platform_extra: String::new(),
             lease_ms: 10_000,
+            access: "open = true",
         }
     }
 }
@@ -158,13 +161,19 @@
 impl Deployment {
     /// Starts everything, brings the table of weights and limits in, and waits until every daemon is ready.
     pub fn start(opt: &Options) -> Self {
+        Self::start_as(opt, "")
+    }
+
+    /// As [`Deployment::start`], with an operator's token.
+    pub fn start_as(opt: &Options, token: &str) -> Self {
         let mut d = Self::prepare(opt);
         for i in 0..d.daemons.len() {
             d.run(i);
         }
         let sheet = Path::new(env!("CARGO_MANIFEST_DIR")).join("etc/limits.csv");
         eventually("the table is brought in", || {
-            let out = d.client(0, &["limits", "import", &sheet.display().to_string()]);
+            let out =
+                d.client(0, &["--token", token, "limits", "import", &sheet.display().to_string()]);
             out.status.success().then_some(())
         });
         d.ready();
@@ -287,9 +296,10 @@
         opt.platform_extra
     );
     let rest = format!(
-        "{platform}[lease]\nlength_ms = {}\nrenew_ms = {}\n\n[access]\nopen = true\npeer_token = \"test\"\n\n{}",
+        "{platform}[lease]\nlength_ms = {}\nrenew_ms = {}\n\n[access]\npeer_token = \"test\"\n{}\n\n{}",
         opt.lease_ms,
         (opt.lease_ms / 3).min(3_000),
+        opt.access,
         opt.extra
     );
     let write = |(d, own): (Daemon, String)| {
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -4,6 +4,7 @@
 #[expect(dead_code, reason = "other tests use the rest")]
 mod support;
 
+mod access;
 mod bad_input;
 mod normalise;
 mod session;
