One place reads rows of shards into the directory, and one reads query parameters

Seen on reading the whole change: the gate built the directory from the table's rows again, beside the scan, and replaced the scan's copy whole; and the value of a query parameter was taken apart in the stand-ins and in the gate. Cx::put_shards and catkin_http::query serve both now.

--- a/crates/catkin-daemon/src/cx/mod.rs
+++ b/crates/catkin-daemon/src/cx/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::metrics::Metrics;
 use crate::peers::Live;
-use crate::{owner, slots};
+use crate::{owner, rows, slots};
 use catkin_http::Client;
 use catkin_lease::Options as LeaseOptions;
 use catkin_limits::{Table, View};
@@ -33,11 +33,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
     /// The row.
-    pub shard: crate::rows::Shard,
+    pub shard: rows::Shard,
     /// The row's version.
     pub version: u64,
 }
 
+/// The beginning of the keys of shards.
+pub const SHARD_KEYS: &str = "shard/";
+
 /// Every shard that the table had when it was read last.
 pub type Directory = BTreeMap<ShardId, Entry>;
 
@@ -187,6 +190,20 @@
         }
     }
 
+    /// Takes up every row of shards whose key begins with `prefix`, in place of those known before. Returns the whole.
+    pub fn put_shards(&self, prefix: &str, list: &[catkin_store::Row]) -> Arc<Directory> {
+        self.directory.send_modify(|known| {
+            let directory = Arc::make_mut(known);
+            directory.retain(|shard, _| !format!("{SHARD_KEYS}{shard}").starts_with(prefix));
+            for row in list {
+                let Some(id) = row.key.strip_prefix(SHARD_KEYS) else { continue };
+                let Some(shard) = rows::from_json(row) else { continue };
+                directory.insert(id.to_owned(), Entry { shard, version: row.version });
+            }
+        });
+        self.directory.borrow().clone()
+    }
+
     /// The options of leases.
     #[must_use]
     pub fn lease(&self) -> LeaseOptions {
--- a/crates/catkin-daemon/src/gate/jobs/mod.rs
+++ b/crates/catkin-daemon/src/gate/jobs/mod.rs
@@ -7,7 +7,7 @@
 pub(super) use cut::workers_known;
 
 use super::{Answered, Caller, Failure, Gate, IDEMPOTENCY_KEY, digest, intent};
-use crate::cx::Directory;
+use crate::cx::SHARD_KEYS;
 use crate::route;
 use crate::rows::{self, Bits, Chunk, Job, Key, Part};
 use catkin_http::body;
@@ -169,14 +169,9 @@
 
     /// Reads the shards again, after a write found one changed.
     async fn refresh(&self) {
-        let Ok(list) = self.cx.store.rows("shard/").await else { return };
-        let mut directory = Directory::new();
-        for row in &list {
-            let Some(shard) = rows::from_json(row) else { continue };
-            let id = row.key.trim_start_matches("shard/").to_owned();
-            directory.insert(id, crate::cx::Entry { shard, version: row.version });
+        if let Ok(list) = self.cx.store.rows(SHARD_KEYS).await {
+            self.cx.put_shards(SHARD_KEYS, &list);
         }
-        self.cx.directory.send_replace(Arc::new(directory));
     }
 }
 
--- a/crates/catkin-daemon/src/gate/limits.rs
+++ b/crates/catkin-daemon/src/gate/limits.rs
@@ -3,7 +3,7 @@
 use super::{Answered, Caller, Failure, Gate};
 use crate::limits::{self, Outcome};
 use crate::rows::{self, Audit};
-use catkin_http::{Body, body};
+use catkin_http::{Body, body, query};
 use catkin_limits::error::Conflict;
 use catkin_limits::{Edit, Error as EditError, sheet};
 use catkin_types::{Answer, Code};
@@ -73,10 +73,7 @@
     /// The audit trail: `day` (days since the Unix epoch), `row` and `by` narrow it.
     pub(super) async fn audit(&self, caller: &Caller, uri: &Uri) -> Answered {
         caller.need_operator()?;
-        let param = |name: &str| {
-            let pairs = uri.query()?.split('&').filter_map(|p| p.split_once('='));
-            pairs.filter(|(k, _)| *k == name).map(|(_, v)| v.to_owned()).next()
-        };
+        let param = |name: &str| query::value(uri, name);
         let prefix = match param("day").and_then(|d| d.parse::<u64>().ok()) {
             Some(day) => format!("audit/{day:06}/"),
             None => "audit/".to_owned(),
--- a/crates/catkin-daemon/src/scan/mod.rs
+++ b/crates/catkin-daemon/src/scan/mod.rs
@@ -4,8 +4,7 @@
 mod assign;
 mod takeover;
 
-use crate::cx::{Directory, Entry, Local};
-use crate::rows::{self, Shard};
+use crate::cx::{Entry, Local};
 use crate::{Cx, owner, slots};
 use catkin_schema::peer::Request;
 use catkin_store::hosts::Host;
@@ -160,15 +159,7 @@
 
     /// Takes up the rows of shards, which were asked for at `asked`.
     async fn read(&self, s: &mut State, prefix: &str, list: &[catkin_store::Row], asked: Duration) {
-        let mut directory = Directory::clone(&self.cx.directory.borrow());
-        directory.retain(|shard, _| !format!("shard/{shard}").starts_with(prefix));
-        for row in list {
-            let Some(shard) = rows::from_json::<Shard>(row) else { continue };
-            let id = row.key.trim_start_matches("shard/").to_owned();
-            directory.insert(id, Entry { shard, version: row.version });
-        }
-        let directory = Arc::new(directory);
-        self.cx.directory.send_replace(Arc::clone(&directory));
+        let directory = self.cx.put_shards(prefix, list);
         for (id, entry) in
             directory.iter().filter(|(id, _)| format!("shard/{id}").starts_with(prefix))
         {
--- a/crates/catkin-http/src/lib.rs
+++ b/crates/catkin-http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod client;
 pub mod error;
+pub mod query;
 pub mod server;
 
 pub use body::Body;
--- a/crates/catkin-standin/src/executor/mod.rs
+++ b/crates/catkin-standin/src/executor/mod.rs
@@ -3,9 +3,9 @@
 //! Query parameters change what a request does: `ms` its time, `bytes` the size of a streamed answer, `cut` the number
 //! of bytes after which the connection breaks, `chunked` that its length is not told beforehand.
 
-use crate::{MAX_BODY, Serving, query, serve};
+use crate::{MAX_BODY, Serving, serve};
 use bytes::Bytes;
-use catkin_http::{Body, body};
+use catkin_http::{Body, body, query};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -126,7 +126,7 @@
             res.headers_mut().insert(NOT_RUN, hyper::header::HeaderValue::from_static("1"));
             return res;
         };
-        let number = |name: &str| query(req.uri(), name).and_then(|v| v.parse::<u64>().ok());
+        let number = |name: &str| query::value(req.uri(), name).and_then(|v| v.parse::<u64>().ok());
         let time = number("ms").map_or(self.opt.service_time, Duration::from_millis);
         let (bytes, cut, chunked) = (number("bytes"), number("cut"), number("chunked").is_some());
         let path = req.uri().path().to_owned();
--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -58,13 +58,6 @@
     Ok(Serving { addr, stop, task })
 }
 
-/// The value of a query parameter.
-#[must_use]
-pub fn query(req_uri: &hyper::Uri, name: &str) -> Option<String> {
-    let pairs = req_uri.query()?.split('&').filter_map(|p| p.split_once('='));
-    pairs.filter(|(k, _)| *k == name).map(|(_, v)| v.to_owned()).next()
-}
-
 /// Where hosts stand, for the host list.
 #[derive(Clone, Debug, Default)]
 pub struct Place {
--- a/crates/catkin-standin/src/platform/mod.rs
+++ b/crates/catkin-standin/src/platform/mod.rs
@@ -2,9 +2,9 @@
 
 use crate::faults::{Faults, Outage, Rate};
 use crate::table::Table;
-use crate::{MAX_BODY, Serving, query, serve};
+use crate::{MAX_BODY, Serving, serve};
 use bytes::Bytes;
-use catkin_http::{Body, body};
+use catkin_http::{Body, body, query};
 use catkin_store::hosts::Host;
 use hyper::body::Incoming;
 use hyper::header::{ETAG, HeaderMap, HeaderValue, IF_NONE_MATCH};
@@ -144,7 +144,7 @@
             (&Method::PUT, "/fault") => self.put_faults(&bytes),
             (&Method::GET, "/taken") => body::json(200, &self.taken()),
             (&Method::GET, "/v1/hosts") => {
-                let region = query(&head.uri, "region");
+                let region = query::value(&head.uri, "region");
                 let mut hosts = self.hosts();
                 hosts.retain(|h| region.as_ref().is_none_or(|r| h.region == *r));
                 tagged(&head.headers, &hosts)
@@ -172,11 +172,11 @@
         match (method, path, object) {
             (&Method::POST, "/v1/txn", _) => self.transact(&bytes).await,
             (&Method::GET, "/v1/row", _) => {
-                let key = query(uri, "key").unwrap_or_default();
+                let key = query::value(uri, "key").unwrap_or_default();
                 body::json(200, &self.lock().table.get(&key))
             }
             (&Method::GET, "/v1/rows", _) => {
-                let prefix = query(uri, "prefix").unwrap_or_default();
+                let prefix = query::value(uri, "prefix").unwrap_or_default();
                 body::json(200, &self.lock().table.scan(&prefix))
             }
             (&Method::PUT, _, Some(key)) => {
