--- /dev/null
+++ b/crates/catkin-cell/src/cell/gang.rs
@@ -0,0 +1,47 @@
+//! Gangs that were started and have to come together.
+
+use super::Cell;
+use crate::action::Action;
+use crate::task::StepRef;
+use crate::worker::Phase;
+use std::time::Duration;
+
+/// A gang that is not complete after this part of the time that its members wait is given up.
+const PATIENCE: f64 = 0.5;
+
+impl Cell {
+    /// Gives up gangs that did not come together in time, and drops from the list those that did.
+    pub(super) fn check_gangs(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let patience = self.opt.gang_wait.mul_f64(PATIENCE);
+        let steps: Vec<StepRef> = self.assembling.iter().copied().collect();
+        for r in steps {
+            if self.gang_runs(r) {
+                self.assembling.remove(&r);
+                continue;
+            }
+            let launched = self.step(r).and_then(|s| s.launched_at);
+            if launched.is_none_or(|at| now.saturating_sub(at) >= patience) {
+                self.give_gang_up(r, out);
+            }
+        }
+    }
+
+    /// Whether every member is known to run.
+    fn gang_runs(&self, r: StepRef) -> bool {
+        let Some(step) = self.step(r) else { return true };
+        (0..).zip(&step.tasks).all(|(i, t)| {
+            let w = t.at.as_ref().and_then(|at| self.workers.get(at));
+            let held = w.and_then(|w| w.held.get(&r.task(i)));
+            t.done || held.is_some_and(|h| h.phase == Phase::Running)
+        })
+    }
+
+    /// Stops every member. The gang starts anew once none is left.
+    pub(super) fn give_gang_up(&mut self, r: StepRef, out: &mut Vec<Action>) {
+        if self.assembling.remove(&r) || self.reserved.remove(&r) {
+            self.counts.gangs_given_up += 1;
+        }
+        self.stop_step(r, out);
+        self.refresh(r);
+    }
+}
--- /dev/null
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -0,0 +1,254 @@
+//! Jobs: accepted, cancelled, due again, at their end.
+
+use super::Cell;
+use crate::action::{Action, Loaded, Stop};
+use crate::job::{Job, State, Step};
+use crate::progress::Progress;
+use crate::queue::Queue;
+use crate::step::{JobState, StepState};
+use crate::task::{StepRef, Task};
+use crate::worker::Phase;
+use catkin_types::JobId;
+use std::time::Duration;
+
+/// How many workers the call for advice of each step is reckoned for in the objective of a job.
+const OBJECTIVE_WORKERS: usize = 30;
+
+impl Cell {
+    /// Takes a job in: one that was accepted, or one that is read back. `age` is the time since it was accepted.
+    pub fn add(&mut self, id: JobId, loaded: Loaded, age: Duration, now: Duration) {
+        if self.jobs.contains_key(&id) || self.ended.contains_key(&id) {
+            return;
+        }
+        let Loaded { job, progress } = loaded;
+        let accepted = now.saturating_sub(age);
+        let steps = steps(&job, progress);
+        let begun = steps.iter().any(|s| s.begun);
+        let due = accepted + self.objective(&job);
+        let mut state = JobState {
+            job,
+            steps,
+            outcome: None,
+            version: 0,
+            saved: 0,
+            writing: None,
+            accepted,
+            due,
+            begun,
+        };
+        let cost = self.advice_cost(&state.job.queue);
+        set_tails(&mut state, cost);
+        let refs = state.refs(id);
+        let cancelled = state.job.cancelled;
+        let all_done = state.steps.iter().all(|s| s.undone == 0) && !state.steps.is_empty();
+        self.jobs.insert(id, state);
+        if cancelled {
+            self.conclude(id, State::Cancelled, &mut Vec::new());
+        } else if all_done && self.every_occurrence_begun(id) {
+            self.conclude(id, State::Completed, &mut Vec::new());
+        } else {
+            refs.into_iter().for_each(|r| self.refresh(r));
+        }
+    }
+
+    /// A caller has cancelled the job, and that is durable.
+    pub fn cancel(&mut self, id: JobId, out: &mut Vec<Action>) {
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.job.cancelled = true;
+            self.conclude(id, State::Cancelled, out);
+        }
+    }
+
+    /// Whether the job is known and not at its durable end.
+    #[must_use]
+    pub fn knows(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id) || self.ended.contains_key(&id)
+    }
+
+    /// Whether the job is not at its end.
+    #[must_use]
+    pub fn is_open(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|j| j.outcome.is_none())
+    }
+
+    /// The durable state of a job.
+    #[must_use]
+    pub fn state(&self, id: JobId) -> Option<State> {
+        if let Some((state, _)) = self.ended.get(&id) {
+            return Some(*state);
+        }
+        let j = self.jobs.get(&id)?;
+        if j.job.cancelled {
+            return Some(State::Cancelled);
+        }
+        Some(if j.begun { State::Running } else { State::Queued })
+    }
+
+    /// How many jobs of a queue wait for their first start.
+    #[must_use]
+    pub fn waiting(&self, queue: &str) -> u64 {
+        let waits = |j: &&JobState| !j.begun && j.outcome.is_none() && j.job.queue == queue;
+        self.jobs.values().filter(waits).count() as u64
+    }
+
+    /// How many jobs are not at their end.
+    #[must_use]
+    pub fn jobs_open(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Begins the occurrences that are due at `wall_ms`, in milliseconds since 1970.
+    pub fn begin_occurrences(&mut self, wall_ms: u64) {
+        let due: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.outcome.is_none() && next_due(j).is_some_and(|t| t <= wall_ms))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            while let Some(j) = self.jobs.get_mut(&id) {
+                if next_due(j).is_none_or(|t| t > wall_ms) {
+                    break;
+                }
+                let fresh: Vec<StepState> = j.job.steps.iter().map(fresh_step).collect();
+                j.steps.extend(fresh);
+                let cost = self.advice_cost_of(id);
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    set_tails(j, cost);
+                    j.refs(id).into_iter().for_each(|r| self.refresh(r));
+                }
+            }
+        }
+    }
+
+    /// Ends the job in `state`: stops what runs and has the end made durable.
+    pub(super) fn conclude(&mut self, id: JobId, state: State, out: &mut Vec<Action>) {
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        if j.outcome.is_some() {
+            return;
+        }
+        j.outcome = Some(state);
+        let refs = j.refs(id);
+        for r in refs {
+            self.open.remove(&r);
+            self.assembling.remove(&r);
+            self.stop_step(r, out);
+            self.reserved.remove(&r);
+        }
+        self.fleet.forget_job(id);
+        self.mark(id);
+    }
+
+    /// Stops every task of a step that is on a worker and gives up the room set aside.
+    pub(super) fn stop_step(&mut self, r: StepRef, out: &mut Vec<Action>) {
+        let Some(step) = self.step(r) else { return };
+        let held: Vec<Task> = (0..)
+            .zip(&step.tasks)
+            .filter(|(_, t)| t.at.is_some())
+            .map(|(i, _)| r.task(i))
+            .collect();
+        held.into_iter().for_each(|task| self.stop_task(task, out));
+    }
+
+    /// Stops a task wherever it is.
+    pub(super) fn stop_task(&mut self, task: Task, out: &mut Vec<Action>) {
+        let at = self.step(task.step).and_then(|s| s.tasks.get(task.index as usize)?.at.clone());
+        let Some(at) = at else { return };
+        let Some(w) = self.workers.get_mut(&at) else { return };
+        let born = w.listed.born;
+        let Some(held) = w.held.get_mut(&task) else { return };
+        match held.phase {
+            Phase::Reserved => {
+                w.release(&task);
+                self.unplace(task);
+            }
+            Phase::Stopping => {}
+            Phase::Starting | Phase::Running | Phase::Unknown => {
+                held.phase = Phase::Stopping;
+                held.stop_answered = None;
+                let run = held.run;
+                held.since = Duration::ZERO;
+                out.push(Action::Stop(Stop { worker: at, born, task, run }));
+            }
+        }
+    }
+
+    /// A step has ended: the next ones may begin, or the job is at its end.
+    pub(super) fn step_ended(&mut self, r: StepRef, out: &mut Vec<Action>) {
+        let Some(j) = self.jobs.get(&r.job) else { return };
+        if j.steps.iter().all(|s| s.undone == 0) && self.every_occurrence_begun(r.job) {
+            self.conclude(r.job, State::Completed, out);
+            return;
+        }
+        let refs = j.refs(r.job);
+        refs.into_iter().for_each(|r| self.refresh(r));
+    }
+
+    fn every_occurrence_begun(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|j| next_due(j).is_none())
+    }
+
+    /// The time that a job has until it is late.
+    fn objective(&self, job: &Job) -> Duration {
+        let Some(q) = self.queues.get(&job.queue) else { return Duration::ZERO };
+        let advice = q.advice.map_or(Duration::ZERO, |a| a.cost(OBJECTIVE_WORKERS));
+        let chain = tails(&job.steps, advice).into_iter().max().unwrap_or_default();
+        chain.mul_f64(q.stretch.max(0.0)) + q.objective
+    }
+
+    fn advice_cost(&self, queue: &str) -> Duration {
+        let advice = self.queues.get(queue).and_then(|q: &Queue| q.advice);
+        advice.map_or(Duration::ZERO, |a| a.cost(OBJECTIVE_WORKERS))
+    }
+
+    fn advice_cost_of(&self, id: JobId) -> Duration {
+        self.jobs.get(&id).map_or(Duration::ZERO, |j| self.advice_cost(&j.job.queue))
+    }
+
+}
+
+fn fresh_step(step: &Step) -> StepState {
+    StepState::new(step.count, crate::progress::StepProgress::default())
+}
+
+/// The steps of a job after what is kept of them. A job at set times has those of the occurrences that have begun.
+fn steps(job: &Job, progress: Progress) -> Vec<StepState> {
+    let width = job.steps.len().max(1);
+    let begun = match job.schedule {
+        Some(_) => progress.steps.len() / width,
+        None => 1,
+    };
+    let mut kept = progress.steps.into_iter();
+    let all = (0..begun).flat_map(|_| &job.steps);
+    all.map(|s| StepState::new(s.count, kept.next().unwrap_or_default())).collect()
+}
+
+/// When the next occurrence is due, in milliseconds since 1970.
+fn next_due(j: &JobState) -> Option<u64> {
+    let s = j.job.schedule?;
+    let next = j.occurrences() as u64;
+    (next < u64::from(s.count)).then(|| s.first_ms + next * s.interval_ms)
+}
+
+/// The longest chain from the start of each step to the end of the job.
+fn tails(steps: &[Step], advice: Duration) -> Vec<Duration> {
+    let mut tails: Vec<Duration> =
+        steps.iter().map(|s| Duration::from_millis(s.estimate_ms) + advice).collect();
+    for later in (0..steps.len()).rev() {
+        for earlier in &steps[later].after {
+            let earlier = *earlier as usize;
+            if earlier < later {
+                let own = Duration::from_millis(steps[earlier].estimate_ms) + advice;
+                tails[earlier] = tails[earlier].max(own + tails[later]);
+            }
+        }
+    }
+    tails
+}
+
+fn set_tails(j: &mut JobState, advice: Duration) {
+    let tails = tails(&j.job.steps, advice);
+    for (step, tail) in j.steps.iter_mut().zip(tails.iter().cycle()) {
+        step.tail = *tail;
+    }
+}
--- /dev/null
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -0,0 +1,210 @@
+//! The owner of a cell: its jobs, its workers, and what to do next.
+
+mod advice;
+mod gang;
+mod jobs;
+mod looks;
+mod orders;
+mod place;
+mod rank;
+mod save;
+mod workers;
+
+pub use advice::Advised;
+pub use workers::WorkerView;
+
+use crate::action::Action;
+use crate::job::State;
+use crate::queue::Queue;
+use crate::step::{JobState, StepState};
+use crate::task::{StepRef, Task};
+use crate::worker::Worker;
+use catkin_place::health::{self, Fleet};
+use catkin_types::{Epoch, JobId, WorkerId};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+/// The settings of a [`Cell`].
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The longest lease that workers grant.
+    pub lease: Duration,
+    /// How long an order to start may be on its way.
+    pub start_window: Duration,
+    /// How long the members of a gang may wait for each other at the workers.
+    pub gang_wait: Duration,
+    /// How long an earlier owner may have acted without a sign from the table service.
+    pub autonomy: Duration,
+    /// After how long an order to stop is sent again.
+    pub stop_again: Duration,
+    /// How long room is kept for tasks that can't start yet, beside the time of one call for advice.
+    pub reservation: Duration,
+    /// How much of a ticket's time is left for the way of an order to start.
+    pub ticket_margin: Duration,
+    /// How long a worker that declined gets no work.
+    pub pause: Duration,
+    /// How long a worker may be missing from the list before it gets no more work.
+    pub missing: Duration,
+    /// How many times as long a task takes far from its data or off its rack.
+    pub far_factor: f64,
+    /// How long the ends of jobs are remembered.
+    pub remember: Duration,
+    /// How workers are judged by what they fail.
+    pub health: health::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(6),
+            start_window: Duration::from_millis(1_500),
+            gang_wait: Duration::from_secs(3),
+            autonomy: Duration::from_secs(10),
+            stop_again: Duration::from_millis(300),
+            reservation: Duration::from_millis(1_500),
+            ticket_margin: Duration::from_millis(200),
+            pause: Duration::from_millis(500),
+            missing: Duration::from_millis(2_500),
+            far_factor: 3.0,
+            remember: Duration::from_mins(2),
+            health: health::Options {
+                quarantine: Duration::from_secs(4),
+                max_fraction: 0.2,
+                ..health::Options::default()
+            },
+        }
+    }
+}
+
+/// The owner of a cell for one term.
+#[derive(Debug)]
+pub struct Cell {
+    opt: Options,
+    epoch: Epoch,
+    started: Duration,
+    queues: BTreeMap<String, Queue>,
+    workers: BTreeMap<WorkerId, Worker>,
+    jobs: HashMap<JobId, JobState>,
+    ended: HashMap<JobId, (State, Duration)>,
+    /// Steps with tasks that wait and whose turn has come.
+    open: BTreeSet<StepRef>,
+    /// Steps with room set aside.
+    reserved: BTreeSet<StepRef>,
+    /// Gangs that were started and not found complete.
+    assembling: BTreeSet<StepRef>,
+    /// Jobs with changes that are not durable.
+    dirty: BTreeSet<JobId>,
+    /// Workers that answered in this term.
+    settled: HashSet<WorkerId>,
+    fleet: Fleet,
+    counts: Counts,
+}
+
+/// What happened in this term, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Starts ordered.
+    pub starts: u64,
+    /// Tasks that ended well.
+    pub done: u64,
+    /// Tasks that failed.
+    pub failed: u64,
+    /// Tasks that were lost with their worker or their lease.
+    pub lost: u64,
+    /// Starts that a worker declined.
+    pub declined: u64,
+    /// Gangs that did not come together.
+    pub gangs_given_up: u64,
+}
+
+impl Cell {
+    /// The owner of `epoch`, which began at `now`.
+    #[must_use]
+    pub fn new(opt: Options, epoch: Epoch, now: Duration) -> Self {
+        let fleet = Fleet::new(opt.health.clone());
+        Self {
+            opt,
+            epoch,
+            started: now,
+            queues: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            jobs: HashMap::new(),
+            ended: HashMap::new(),
+            open: BTreeSet::new(),
+            reserved: BTreeSet::new(),
+            assembling: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            settled: HashSet::new(),
+            fleet,
+            counts: Counts::default(),
+        }
+    }
+
+    /// The term.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// What happened so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Takes over what the configuration says of the queues. A queue that is gone stays as it was for the jobs that it
+    /// still has.
+    pub fn configure(&mut self, queues: impl IntoIterator<Item = (String, Queue)>) {
+        self.queues.extend(queues);
+    }
+
+    /// Does what is due at `now`: orders that got no answer, leases that ran out, and starts.
+    pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.expire(now);
+        self.stop_again(now, out);
+        self.check_gangs(now, out);
+        self.drop_reservations(now);
+        self.schedule(now, out);
+        self.forget(now);
+    }
+
+    fn step(&self, r: StepRef) -> Option<&StepState> {
+        self.jobs.get(&r.job)?.step(r)
+    }
+
+    fn step_mut(&mut self, r: StepRef) -> Option<&mut StepState> {
+        self.jobs.get_mut(&r.job)?.step_mut(r)
+    }
+
+    /// Puts the step on the list of those that wait, or takes it off.
+    fn refresh(&mut self, r: StepRef) {
+        let waits = self.jobs.get(&r.job).is_some_and(|j| {
+            let waits = j.step(r).is_some_and(|s| s.waiting().next().is_some());
+            j.outcome.is_none() && waits && j.ready(r)
+        });
+        if waits {
+            self.open.insert(r);
+        } else {
+            self.open.remove(&r);
+        }
+    }
+
+    /// The task has no worker any more.
+    fn unplace(&mut self, task: Task) {
+        if let Some(step) = self.step_mut(task.step) {
+            if let Some(t) = step.tasks.get_mut(task.index as usize) {
+                t.at = None;
+            }
+            if !step.any_held() {
+                step.launched_at = None;
+            }
+        }
+        self.refresh(task.step);
+    }
+
+    /// Drops ends that were remembered long enough.
+    fn forget(&mut self, now: Duration) {
+        let keep = self.opt.remember;
+        self.ended.retain(|_, (_, at)| now.saturating_sub(*at) < keep);
+    }
+}
--- /dev/null
+++ b/crates/catkin-cell/src/cell/orders.rs
@@ -0,0 +1,129 @@
+//! Answers to orders.
+
+use super::Cell;
+use crate::action::{Action, Start, Stop};
+use crate::task::{StepRef, Task};
+use crate::worker::{Phase, Reply};
+use catkin_types::WorkerId;
+use std::time::Duration;
+
+impl Cell {
+    /// The answer to an order to start.
+    pub fn started(&mut self, s: &Start, reply: Reply, now: Duration, out: &mut Vec<Action>) {
+        let current = self.workers.get(&s.worker).is_some_and(|w| {
+            w.held.get(&s.task).is_some_and(|h| h.run == s.run) && w.listed.born == s.born
+        });
+        if reply == Reply::Fenced {
+            out.push(Action::Deposed);
+            return;
+        }
+        if !current {
+            return;
+        }
+        match reply {
+            Reply::Done => self.runs(&s.worker, s.task, now),
+            Reply::Unknown => {
+                self.note_unknown(&s.worker, s.task, now);
+                out.push(Action::Look(s.worker.clone()));
+            }
+            Reply::OtherLife => {
+                self.reborn(&s.worker, 0);
+                out.push(Action::Look(s.worker.clone()));
+            }
+            Reply::Late => {
+                self.declined(&s.worker, s.task, out);
+                out.push(Action::Look(s.worker.clone()));
+            }
+            Reply::Ticket => {
+                self.drop_ticket(s.task.step, &s.worker);
+                self.declined(&s.worker, s.task, out);
+            }
+            Reply::Full | Reply::NotRun => {
+                let pause = self.opt.pause;
+                if let Some(w) = self.workers.get_mut(&s.worker) {
+                    w.closed_until = now + pause;
+                }
+                self.declined(&s.worker, s.task, out);
+            }
+            Reply::Old | Reply::Fenced => self.declined(&s.worker, s.task, out),
+        }
+    }
+
+    fn runs(&mut self, worker: &str, task: Task, now: Duration) {
+        let Some(held) = self.workers.get_mut(worker).and_then(|w| w.held.get_mut(&task)) else {
+            return;
+        };
+        if matches!(held.phase, Phase::Starting | Phase::Unknown) {
+            held.phase = Phase::Running;
+            held.since = now;
+        }
+        self.note_begun(task.step);
+    }
+
+    fn note_unknown(&mut self, worker: &str, task: Task, now: Duration) {
+        let Some(w) = self.workers.get_mut(worker) else { return };
+        if let Some(held) = w.held.get_mut(&task).filter(|h| h.phase == Phase::Starting) {
+            held.phase = Phase::Unknown;
+            held.since = now;
+        }
+    }
+
+    /// The worker did not start the task, and will not.
+    fn declined(&mut self, worker: &str, task: Task, out: &mut Vec<Action>) {
+        self.counts.declined += 1;
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.release(&task);
+        }
+        self.unplace(task);
+        if self.is_gang(task.step) {
+            self.give_gang_up(task.step, out);
+        }
+    }
+
+    /// The answer to an order to stop.
+    pub fn stopped(&mut self, s: &Stop, reply: Reply, now: Duration, out: &mut Vec<Action>) {
+        match reply {
+            Reply::Fenced => out.push(Action::Deposed),
+            Reply::OtherLife => {
+                if self.workers.get(&s.worker).is_some_and(|w| w.listed.born == s.born) {
+                    self.reborn(&s.worker, 0);
+                }
+                out.push(Action::Look(s.worker.clone()));
+            }
+            Reply::Unknown | Reply::NotRun => {}
+            _ => {
+                let w = self.workers.get_mut(&s.worker);
+                if let Some(held) = w.and_then(|w| w.held.get_mut(&s.task)) {
+                    if held.run == s.run && held.phase == Phase::Stopping {
+                        held.stop_answered.get_or_insert(now);
+                    }
+                }
+                out.push(Action::Look(s.worker.clone()));
+            }
+        }
+    }
+
+    /// Sends orders to stop again that got no answer.
+    pub(super) fn stop_again(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let again = self.opt.stop_again;
+        for (id, w) in &mut self.workers {
+            for (task, held) in &mut w.held {
+                if held.phase != Phase::Stopping || held.stop_answered.is_some() {
+                    continue;
+                }
+                if held.since == Duration::ZERO {
+                    held.since = now;
+                } else if now.saturating_sub(held.since) >= again {
+                    held.since = now;
+                    let (worker, born): (WorkerId, _) = (id.clone(), w.listed.born);
+                    out.push(Action::Stop(Stop { worker, born, task: *task, run: held.run }));
+                }
+            }
+        }
+    }
+
+    pub(super) fn is_gang(&self, r: StepRef) -> bool {
+        let kind = self.jobs.get(&r.job).and_then(|j| j.job.steps.get(r.step as usize));
+        kind.is_some_and(|k| k.gang)
+    }
+}
--- /dev/null
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -0,0 +1,105 @@
+//! What has to be durable before something else may happen.
+
+use super::Cell;
+use crate::action::Write;
+use crate::job::State;
+use crate::step::JobState;
+use crate::worker::Worker;
+use catkin_types::JobId;
+use std::collections::HashMap;
+use std::time::Duration;
+
+impl Cell {
+    /// Something of the job changed that has to be durable. Returns the version that holds it.
+    pub(super) fn mark(&mut self, id: JobId) -> u64 {
+        let Some(j) = self.jobs.get_mut(&id) else { return 0 };
+        j.version += 1;
+        self.dirty.insert(id);
+        j.version
+    }
+
+    /// Whether `version` of the job is durable. Jobs at their durable end are.
+    pub(super) fn durable(&self, id: JobId, version: u64) -> bool {
+        self.jobs.get(&id).is_none_or(|j| j.saved >= version)
+    }
+
+    /// Whether anything of the jobs for which `mine` holds has to be written.
+    pub fn has_writes(&self, mine: impl Fn(JobId) -> bool) -> bool {
+        self.dirty.iter().any(|id| mine(*id))
+    }
+
+    /// Takes what has to be written of at most `most` jobs for which `mine` holds. One such batch at a time is
+    /// under way for the same jobs, until [`Cell::written`] or [`Cell::not_written`].
+    pub fn take_writes(&mut self, mine: impl Fn(JobId) -> bool, most: usize) -> Vec<Write> {
+        let ids: Vec<JobId> = self.dirty.iter().copied().filter(|id| mine(*id)).take(most).collect();
+        let mut writes = Vec::with_capacity(ids.len());
+        for id in ids {
+            self.dirty.remove(&id);
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            j.writing = Some(j.version);
+            writes.push(match j.outcome {
+                Some(state) => Write::Ended(id, state),
+                None => Write::Progress(id, j.keep()),
+            });
+        }
+        writes
+    }
+
+    /// A batch is durable.
+    pub fn written(&mut self, batch: &[Write], now: Duration) {
+        for w in batch {
+            match w {
+                Write::Progress(id, _) => {
+                    if let Some(j) = self.jobs.get_mut(id) {
+                        j.saved = j.writing.take().unwrap_or(j.saved);
+                    }
+                }
+                Write::Ended(id, state) => self.ended_durably(*id, *state, now),
+            }
+        }
+        self.acknowledge();
+    }
+
+    /// A batch was certainly not written.
+    pub fn not_written(&mut self, batch: &[Write]) {
+        for w in batch {
+            let (Write::Progress(id, _) | Write::Ended(id, _)) = w;
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.writing = None;
+                self.dirty.insert(*id);
+            }
+        }
+    }
+
+    fn ended_durably(&mut self, id: JobId, state: State, now: Duration) {
+        self.jobs.remove(&id);
+        self.dirty.remove(&id);
+        self.ended.insert(id, (state, now));
+    }
+
+    /// Lets the workers forget the ends that are durable.
+    fn acknowledge(&mut self) {
+        let Self { workers, jobs, .. } = self;
+        workers.values_mut().for_each(|w| acknowledge(w, jobs));
+    }
+
+    /// Lets one worker forget the ends that are durable.
+    pub(super) fn acknowledge_at(&mut self, worker: &str) {
+        let Self { workers, jobs, .. } = self;
+        if let Some(w) = workers.get_mut(worker) {
+            acknowledge(w, jobs);
+        }
+    }
+}
+
+fn acknowledge(w: &mut Worker, jobs: &HashMap<JobId, JobState>) {
+    let durable =
+        |(id, version): (JobId, u64)| jobs.get(&id).is_none_or(|j| j.saved >= version);
+    while let Some(end) = w.unacknowledged.front() {
+        if !end.needs.is_none_or(durable) {
+            break;
+        }
+        w.acknowledged = end.number;
+        w.unacknowledged.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/catkin-cell/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of the owner of a cell: which task starts where, and what is known of each.
+//!
+//! Pure: what happened and the time go in, [`Action`]s come out. No I/O, no clock, no randomness.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod action;
+pub mod cell;
+pub mod job;
+pub mod progress;
+pub mod queue;
+pub mod step;
+pub mod task;
+pub mod worker;
+
+pub use action::{Action, Ask, Start, Stop, Write};
+pub use cell::{Cell, Options};
+pub use job::{Job, State};
+pub use progress::Progress;
+pub use queue::Queue;
+pub use task::{StepRef, Task};
--- /dev/null
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -0,0 +1,235 @@
+//! A worker as its owner sees it.
+
+use crate::task::Task;
+use catkin_place::Host;
+use catkin_types::{Incarnation, JobId, Resources, WorkerId, Zone};
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// What a worker says of itself in the list of workers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listed {
+    /// Its name.
+    pub id: WorkerId,
+    /// Its address.
+    pub addr: String,
+    /// Its life: when it started. 0 if it does not say.
+    pub born: Incarnation,
+    /// The service that it runs work of.
+    pub service: String,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its rack.
+    pub rack: String,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// What it can hold.
+    pub capacity: Resources,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// What a worker answers when it is looked at.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Its steady clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Its life. 0 if it does not say.
+    pub born: Incarnation,
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What has ended and was not acknowledged.
+    pub ended: Vec<Ended>,
+}
+
+/// A task that runs on a worker.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Running {
+    /// The task.
+    pub task: Task,
+    /// The number of its start.
+    pub run: u32,
+    /// Its newest checkpoint, empty if there is none.
+    pub checkpoint: String,
+    /// How much of it is done, in hundredths.
+    pub percent: f64,
+}
+
+/// A task that has ended on a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    /// The number of the end, rising from 1 in each life of the worker.
+    pub number: u64,
+    /// The task.
+    pub task: Task,
+    /// The number of its start.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+    /// Its newest checkpoint, empty if there is none.
+    pub checkpoint: String,
+}
+
+/// How a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// It failed, through its own fault or the worker's.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// Its gang never came together.
+    Alone,
+}
+
+/// The answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Carried out.
+    Done,
+    /// The worker has had an order of a later owner.
+    Fenced,
+    /// A run of the task as high as this was there before.
+    Old,
+    /// The order came after its time.
+    Late,
+    /// There is no room.
+    Full,
+    /// The ticket is not valid.
+    Ticket,
+    /// The worker is another life than the one that was meant.
+    OtherLife,
+    /// The worker did nothing, or the order was never sent.
+    NotRun,
+    /// The order may be carried out, now or later.
+    Unknown,
+}
+
+/// How far a task on a worker is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The room is set aside.
+    Reserved,
+    /// The order to start is on its way.
+    Starting,
+    /// It runs.
+    Running,
+    /// The order to start got no answer.
+    Unknown,
+    /// It is to stop.
+    Stopping,
+}
+
+/// A task that takes room on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub run: u32,
+    pub room: Resources,
+    pub phase: Phase,
+    /// When the phase began, or the last order of it was sent.
+    pub since: Duration,
+    /// Until when the worker may carry out an order to start that got no answer, on its clock.
+    pub until_ms: u64,
+    /// When the order to stop was answered.
+    pub stop_answered: Option<Duration>,
+    /// When the task is expected to end.
+    pub expected_end: Duration,
+}
+
+/// An end that has not been acknowledged: its number, and the version of the job that has to be durable before.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unacknowledged {
+    pub number: u64,
+    pub needs: Option<(JobId, u64)>,
+}
+
+/// A worker and what its owner knows of it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Worker {
+    pub listed: Listed,
+    /// Capacity and what is set aside.
+    pub host: Host,
+    /// Since when it has been missing from the list.
+    pub missing_since: Option<Duration>,
+    /// Whether it has answered a look of this owner in its present life.
+    pub claimed: bool,
+    /// Its clock and when it was read.
+    pub clock: Option<(u64, Duration)>,
+    /// The latest lease that was asked for, on its clock.
+    pub lease_to_ms: u64,
+    pub held: HashMap<Task, Held>,
+    pub acknowledged: u64,
+    pub noted: u64,
+    pub unacknowledged: VecDeque<Unacknowledged>,
+    /// How many calls in a row got no answer.
+    pub misses: u32,
+    /// Until when it gets no new work, after it declined some.
+    pub closed_until: Duration,
+}
+
+/// A worker's clock may be this many thousandths slow.
+const SLOW_PER_MILLE: u32 = 20;
+
+impl Worker {
+    pub(crate) fn free(&self) -> Resources {
+        self.host.free()
+    }
+
+    /// The worker's clock at `now`, at the earliest that it can show.
+    pub(crate) fn clock_at_least(&self, now: Duration) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let passed = now.saturating_sub(at);
+        Some(clock + millis(passed - passed * SLOW_PER_MILLE / 1_000))
+    }
+
+    /// The worker's clock at `now`, if it runs as ours does.
+    pub(crate) fn clock_about(&self, now: Duration) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + millis(now.saturating_sub(at)))
+    }
+
+    pub(crate) fn hold(&mut self, task: Task, held: Held) {
+        self.host.declared = self.host.declared.saturating_add(&held.room);
+        if let Some(old) = self.held.insert(task, held) {
+            self.host.declared = self.host.declared.saturating_sub(&old.room);
+        }
+    }
+
+    pub(crate) fn release(&mut self, task: &Task) -> Option<Held> {
+        let held = self.held.remove(task)?;
+        self.host.declared = self.host.declared.saturating_sub(&held.room);
+        Some(held)
+    }
+
+    /// Takes over what the list says.
+    pub(crate) fn list(&mut self, listed: Listed) {
+        self.host.id.clone_from(&listed.id);
+        self.host.rack.clone_from(&listed.rack);
+        self.host.capacity = listed.capacity;
+        self.missing_since = None;
+        self.listed = listed;
+    }
+
+    /// Forgets all that belonged to an earlier life.
+    pub(crate) fn reborn(&mut self, born: Incarnation) -> Vec<(Task, Held)> {
+        self.listed.born = born;
+        self.claimed = false;
+        self.clock = None;
+        self.lease_to_ms = 0;
+        self.acknowledged = 0;
+        self.noted = 0;
+        self.unacknowledged.clear();
+        self.host.declared = Resources::default();
+        self.held.drain().collect()
+    }
+}
+
+/// `d` in whole milliseconds.
+pub(crate) fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the owner of a cell.
--- a/crates/catkin-daemon/src/peers/mod.rs
+++ b/crates/catkin-daemon/src/peers/mod.rs
@@ -128,6 +128,7 @@
         limits_version: cx.limits.borrow().version(),
         draining: cx.draining(),
         shards,
+        ..Beat::default()
     }
 }
 
--- a/crates/catkin-daemon/src/route/mod.rs
+++ b/crates/catkin-daemon/src/route/mod.rs
@@ -86,6 +86,9 @@
             Response::Done
         }
         Request::Workers(shard) => ask_owner(cx, &shard, owner::Message::Workers).await,
+        Request::Waiting(_) | Request::Advise(_) => {
+            refused(Code::BAD_REQUEST, "this daemon owns no cell")
+        }
     }
 }
 
--- a/crates/catkin-http/src/client/mod.rs
+++ b/crates/catkin-http/src/client/mod.rs
@@ -113,15 +113,28 @@
         bytes: Bytes,
         timeout: Duration,
     ) -> Result<(u16, Bytes), Error> {
-        let t = &self.traffic;
-        t.sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        t.exchanges.fetch_add(1, Ordering::Relaxed);
         let req = Request::builder()
             .method(method)
             .uri(url)
             .header(CONTENT_TYPE, "application/json")
-            .body(body::full(bytes))
+            .body(bytes)
             .map_err(|e| Error::NotSent(e.to_string()))?;
+        self.exchange_request(req, timeout).await
+    }
+
+    /// Sends a whole request and reads the whole answer, whatever its status.
+    ///
+    /// # Errors
+    /// As [`Client::exchange`].
+    pub async fn exchange_request(
+        &self,
+        req: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes), Error> {
+        let t = &self.traffic;
+        t.sent.fetch_add(req.body().len() as u64, Ordering::Relaxed);
+        t.exchanges.fetch_add(1, Ordering::Relaxed);
+        let req = req.map(body::full);
         let whole = async {
             let res = self.send(req, timeout).await?;
             let status = res.status().as_u16();
--- /dev/null
+++ b/crates/catkin-node/src/asks/mod.rs
@@ -0,0 +1,158 @@
+//! Questions to the adviser. It takes one call at a time of each machine, so that the daemons ask for each other.
+
+use crate::cx::Cx;
+use catkin_cell::{Ask, StepRef};
+use catkin_platform::error::Error;
+use catkin_schema::peer::{Advise, Request, Response};
+use catkin_types::WorkerId;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How much longer than the adviser's own time an answer may take.
+const SLACK: Duration = Duration::from_millis(500);
+/// Calls that take the adviser longer than this are long.
+const LONG: Duration = Duration::from_millis(250);
+/// How long a daemon that was not heard of gets no questions.
+const FORGET: Duration = Duration::from_millis(1_200);
+/// How long a daemon that did not answer gets no questions.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Asks the adviser for this daemon itself.
+///
+/// # Errors
+/// The adviser declined or did not answer.
+pub async fn ask(
+    cx: &Cx,
+    r: StepRef,
+    workers: &[WorkerId],
+    wait: Duration,
+) -> Result<Vec<(WorkerId, String)>, Error> {
+    cx.adviser.ask(r, workers, wait).await
+}
+
+/// Has another daemon ask.
+///
+/// # Errors
+/// It or the adviser declined or did not answer.
+pub async fn ask_by(
+    cx: &Cx,
+    by: Option<SocketAddr>,
+    ask: &Ask,
+) -> Result<Vec<(WorkerId, String)>, Error> {
+    let wait = ask.cost + SLACK;
+    let Some(addr) = by else {
+        return self::ask(cx, ask.step, &ask.workers, wait).await;
+    };
+    let req = Request::Advise(Advise {
+        job: ask.step.job,
+        occurrence: ask.step.occurrence,
+        step: ask.step.step,
+        workers: ask.workers.clone(),
+        wait,
+    });
+    match cx.calls.call(addr, req, wait + SLACK).await {
+        Ok(Response::Advice(rows)) => Ok(rows),
+        Ok(other) => Err(Error::NotDone(format!("the daemon at {addr} answers {other:?}"))),
+        Err(e) => Err(Error::Unknown(e.to_string())),
+    }
+}
+
+/// A daemon that can ask.
+#[derive(Clone, Debug)]
+struct Asker {
+    /// Where it takes calls; nothing for this daemon itself.
+    addr: Option<SocketAddr>,
+    heard: Duration,
+    paused_until: Duration,
+    /// What it asks now: whether that is long.
+    busy: Option<bool>,
+}
+
+/// Which daemon asks what next.
+#[derive(Debug)]
+pub struct Askers {
+    askers: Vec<Asker>,
+    waiting: Vec<Ask>,
+}
+
+impl Default for Askers {
+    fn default() -> Self {
+        let own = Asker {
+            addr: None,
+            heard: Duration::MAX,
+            paused_until: Duration::ZERO,
+            busy: None,
+        };
+        Self { askers: vec![own], waiting: Vec::new() }
+    }
+}
+
+impl Askers {
+    /// A daemon said at `now` that it is there.
+    pub fn heard(&mut self, addr: SocketAddr, draining: bool, now: Duration) {
+        let heard = if draining { Duration::ZERO } else { now };
+        match self.askers.iter_mut().find(|a| a.addr == Some(addr)) {
+            Some(a) => a.heard = heard,
+            None => self.askers.push(Asker {
+                addr: Some(addr),
+                heard,
+                paused_until: Duration::ZERO,
+                busy: None,
+            }),
+        }
+        self.askers.retain(|a| a.busy.is_some() || alive(a, now));
+    }
+
+    /// A question waits for a daemon.
+    pub fn push(&mut self, ask: Ask) {
+        self.waiting.push(ask);
+    }
+
+    /// How many questions wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The next question that a daemon is free for, and that daemon.
+    pub fn next(&mut self, now: Duration) -> Option<(Ask, Option<SocketAddr>)> {
+        let live = self.askers.iter().filter(|a| alive(a, now)).count();
+        let long_now = self.askers.iter().filter(|a| a.busy == Some(true)).count();
+        // Short questions find a free daemon at any time.
+        let most_long = (live * 2 / 3).max(1);
+        let free = self
+            .askers
+            .iter()
+            .rposition(|a| a.busy.is_none() && alive(a, now) && now >= a.paused_until)?;
+        let fits = |a: &Ask| a.cost <= LONG || long_now < most_long;
+        let (i, _) = self
+            .waiting
+            .iter()
+            .enumerate()
+            .filter(|(_, a)| fits(a))
+            .min_by_key(|(_, a)| (a.before, a.cost))?;
+        let ask = self.waiting.swap_remove(i);
+        let asker = &mut self.askers[free];
+        asker.busy = Some(ask.cost > LONG);
+        Some((ask, asker.addr))
+    }
+
+    /// The daemon at `addr` has its answer.
+    pub fn answered(&mut self, addr: Option<SocketAddr>, well: bool, now: Duration) {
+        if let Some(a) = self.askers.iter_mut().find(|a| a.addr == addr) {
+            a.busy = None;
+            if !well && a.addr.is_some() {
+                a.paused_until = now + PAUSE;
+            }
+        }
+    }
+
+    /// Drops the questions for which `keep` does not hold.
+    pub fn retain(&mut self, keep: impl Fn(&Ask) -> bool) {
+        self.waiting.retain(keep);
+    }
+}
+
+fn alive(a: &Asker, now: Duration) -> bool {
+    a.addr.is_none() || now.saturating_sub(a.heard) < FORGET
+}
--- /dev/null
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -0,0 +1,155 @@
+//! What all parts of a daemon share.
+
+use crate::owner::Owner;
+use crate::settings::Settings;
+use catkin_peer::Calls;
+use catkin_platform::advice::Adviser;
+use catkin_platform::config::Config;
+use catkin_platform::store::{Rows, Store};
+use catkin_platform::workers::Workers;
+use catkin_types::Epoch;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Who owns the cell, as far as this daemon knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// The term.
+    pub epoch: Epoch,
+    /// Where it takes calls.
+    pub addr: SocketAddr,
+}
+
+/// What all parts of a daemon share.
+#[derive(Debug)]
+pub struct Cx {
+    /// The settings.
+    pub cfg: Settings,
+    /// A number drawn at the start.
+    pub incarnation: u64,
+    /// The table service.
+    pub store: Store,
+    /// The workers.
+    pub workers: Workers,
+    /// The adviser.
+    pub adviser: Adviser,
+    /// Calls to other daemons.
+    pub calls: Calls,
+    /// The newest configuration.
+    pub config: watch::Receiver<Option<Arc<Config>>>,
+    /// Who owns the cell.
+    pub leader: watch::Sender<Option<Leader>>,
+    /// The owner, if it is this daemon.
+    pub owner: watch::Sender<Option<Owner>>,
+    /// The term of this daemon as owner, 0 if it is not.
+    pub leads: AtomicU64,
+    /// What this daemon spawned.
+    pub tasks: TaskTracker,
+    /// The daemon stops.
+    pub stop: CancellationToken,
+    /// Whether the daemon is about to stop.
+    pub draining: AtomicBool,
+    started: Instant,
+    clock: Mutex<TableClock>,
+}
+
+/// The clock of the table service and when it was read.
+#[derive(Clone, Copy, Debug, Default)]
+struct TableClock {
+    read: Option<(u64, Duration)>,
+}
+
+impl Cx {
+    /// What is shared by a daemon that starts now.
+    #[must_use]
+    pub fn new(
+        cfg: Settings,
+        calls: Calls,
+        config: watch::Receiver<Option<Arc<Config>>>,
+        http: &catkin_http::Client,
+    ) -> Self {
+        Self {
+            store: Store::new(http.clone(), &cfg.table.address),
+            workers: Workers::new(http.clone()),
+            adviser: Adviser::new(http.clone(), &cfg.adviser.address),
+            cfg,
+            incarnation: rand::random(),
+            calls,
+            config,
+            leader: watch::Sender::new(None),
+            owner: watch::Sender::new(None),
+            leads: AtomicU64::new(0),
+            tasks: TaskTracker::new(),
+            stop: CancellationToken::new(),
+            draining: AtomicBool::new(false),
+            started: Instant::now(),
+            clock: Mutex::default(),
+        }
+    }
+
+    /// The time since the daemon started.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Notes that the table service answered, and what its clock showed.
+    pub fn table_answered(&self, clock_ms: u64) {
+        let mut clock = self.clock.lock().unwrap_or_else(PoisonError::into_inner);
+        if clock_ms > 0 {
+            clock.read = Some((clock_ms, self.now()));
+        }
+    }
+
+    /// Notes the clock of an answer with rows.
+    pub fn table_read(&self, rows: &Rows) {
+        self.table_answered(rows.clock_ms);
+    }
+
+    /// The table's clock now, in milliseconds, 0 if it was never read.
+    #[must_use]
+    pub fn table_ms(&self) -> u64 {
+        let clock = *self.clock.lock().unwrap_or_else(PoisonError::into_inner);
+        let passed = |at| u64::try_from((self.now().saturating_sub(at)).as_millis()).unwrap_or(0);
+        clock.read.map_or(0, |(ms, at)| ms + passed(at))
+    }
+
+    /// How long ago the table service answered.
+    #[must_use]
+    pub fn table_silence(&self) -> Duration {
+        let clock = *self.clock.lock().unwrap_or_else(PoisonError::into_inner);
+        clock.read.map_or(Duration::MAX, |(_, at)| self.now().saturating_sub(at))
+    }
+
+    /// Whether the daemon is about to stop.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Where this daemon takes calls of others.
+    #[must_use]
+    pub fn peer_address(&self) -> String {
+        format!("{}:{}", self.cfg.daemon.ip, self.cfg.listen.peer_port)
+    }
+
+    /// Spawns a task that ends with the daemon.
+    pub fn spawn<F>(&self, f: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = f => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -0,0 +1,220 @@
+//! Jobs of clients: accepted, asked for, cancelled.
+
+use super::refused;
+use crate::cx::Cx;
+use crate::peers;
+use crate::table::{self, ENDED, End, JOBS, job_key};
+use catkin_cell::{Job, State};
+use catkin_http::body::{self, Body};
+use catkin_platform::entry;
+use catkin_platform::error::Error;
+use catkin_platform::store::{Changes, Outcome};
+use catkin_schema::peer::{Request, Response as Answer};
+use catkin_types::JobId;
+use catkin_types::id::format_job;
+use hyper::Response;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long the table service may take for one answer.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// The pause before a call whose answer was lost is made again.
+const PAUSE: Duration = Duration::from_millis(60);
+/// How long the owner may take for one answer.
+const OWNER_PATIENCE: Duration = Duration::from_millis(500);
+/// How long the owner is told of a job, at most. It reads the table in any case.
+const TELL_PATIENCE: Duration = Duration::from_millis(800);
+
+/// What is known of a job in the table.
+enum Stored {
+    Open { job: Job, version: u64 },
+    Ended(State),
+    Never,
+}
+
+/// Stores a job and answers whether it is accepted.
+pub(super) async fn accept(
+    cx: &Arc<Cx>,
+    id: JobId,
+    job: Job,
+    deadline: Duration,
+) -> Response<Body> {
+    let changes = table::accept(id, &job);
+    let mut lost = false;
+    loop {
+        let left = deadline.saturating_sub(cx.now());
+        if left.is_zero() {
+            tracing::info!(job = format_job(id), "gate: it is not known whether the job is stored");
+            return body::text(504, "it is not known whether the job is accepted\n");
+        }
+        match cx.store.commit(&changes, PATIENCE.min(left)).await {
+            Ok(Outcome::Done { clock_ms, .. }) => {
+                cx.table_answered(clock_ms);
+                tracing::info!(job = format_job(id), queue = job.queue, "gate: accepted");
+                tell(cx, Request::Offer {
+                    shard: String::new(),
+                    job: id,
+                    body: table::to_json(&job),
+                });
+                return body::text(200, "accepted\n");
+            }
+            Ok(Outcome::Conflict(_)) => {
+                if lost {
+                    // An earlier try was carried out, or another daemon accepted the job.
+                    tell(cx, Request::Offer {
+                        shard: String::new(),
+                        job: id,
+                        body: table::to_json(&job),
+                    });
+                }
+                tracing::info!(job = format_job(id), "gate: accepted before");
+                return body::text(200, "accepted before\n");
+            }
+            Err(Error::NotDone(e)) if !lost => {
+                tracing::info!(job = format_job(id), "gate: refused, not stored: {e}");
+                return refused(503, "the job is not stored");
+            }
+            Err(e) => {
+                lost |= !matches!(e, Error::NotDone(_));
+                tracing::debug!(job = format_job(id), "gate: not known to be stored: {e}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Tells the owner of the cell something that it would find in the table a little later.
+fn tell(cx: &Arc<Cx>, req: Request) {
+    let mine = Arc::clone(cx);
+    cx.spawn(async move {
+        drop(ask(&mine, req, TELL_PATIENCE).await);
+    });
+}
+
+/// Calls the owner of the cell.
+async fn ask(cx: &Arc<Cx>, req: Request, patience: Duration) -> Option<Answer> {
+    if cx.owner.borrow().is_some() {
+        return tokio::time::timeout(patience, peers::answer(cx, req)).await.ok();
+    }
+    let leader = cx.leader.borrow().clone()?;
+    match cx.calls.call(leader.addr, req, patience).await {
+        Ok(answer) => Some(answer),
+        Err(e) => {
+            tracing::debug!("gate: the owner does not answer: {e}");
+            None
+        }
+    }
+}
+
+/// Answers how far a job is.
+pub(super) async fn state(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Response<Body> {
+    let answer = ask(cx, Request::JobStatus(id), OWNER_PATIENCE).await;
+    if let Some(Answer::Text(word)) = answer
+        && let Some(state) = parse_state(&word)
+    {
+        return shown(state);
+    }
+    match stored(cx, id, deadline).await {
+        Some(Stored::Open { job, .. }) if job.cancelled => shown(State::Cancelled),
+        // Whether a task has started is known to the owner alone.
+        Some(Stored::Open { .. }) => shown(State::Running),
+        Some(Stored::Ended(state)) => shown(state),
+        Some(Stored::Never) => body::text(410, "no such job\n"),
+        None => refused(503, "the state of the job can't be read now"),
+    }
+}
+
+fn parse_state(word: &[u8]) -> Option<State> {
+    let all = [State::Queued, State::Running, State::Completed, State::Failed, State::Cancelled];
+    all.into_iter().find(|s| s.to_string().as_bytes() == word)
+}
+
+fn shown(state: State) -> Response<Body> {
+    let mut res = body::text(200, entry::state_body(state));
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    res.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    res
+}
+
+/// What the table has of a job, nothing if it can't be read in time.
+async fn stored(cx: &Cx, id: JobId, deadline: Duration) -> Option<Stored> {
+    loop {
+        let left = deadline.saturating_sub(cx.now());
+        if left.is_zero() {
+            return None;
+        }
+        match read(cx, id, PATIENCE.min(left)).await {
+            Ok(stored) => return Some(stored),
+            Err(e) => {
+                tracing::debug!(job = format_job(id), "gate: not read: {e}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads a job. Its end is written in the same transaction in which its row is dropped: the row is read first.
+async fn read(cx: &Cx, id: JobId, patience: Duration) -> Result<Stored, Error> {
+    let (row, _) = cx.store.read_one(&job_key(JOBS, id), patience).await?;
+    if let Some(row) = row {
+        let job: Job = table::read(&row)
+            .ok_or_else(|| Error::Malformed(format!("the row of job {}", row.key)))?;
+        return Ok(Stored::Open { job, version: row.version });
+    }
+    let (row, clock_ms) = cx.store.read_one(&job_key(ENDED, id), patience).await?;
+    cx.table_answered(clock_ms);
+    let Some(row) = row else { return Ok(Stored::Never) };
+    let end: End =
+        table::read(&row).ok_or_else(|| Error::Malformed(format!("the end of job {}", row.key)))?;
+    Ok(Stored::Ended(end.state))
+}
+
+/// Cancels a job and answers once that is durable.
+pub(super) async fn cancel(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Response<Body> {
+    while let Some(stored) = stored(cx, id, deadline).await {
+        let (job, version) = match stored {
+            Stored::Never => return body::text(410, "no such job\n"),
+            Stored::Ended(_) => return body::text(200, "the job is at its end\n"),
+            Stored::Open { job, .. } if job.cancelled => {
+                tell(cx, Request::Cancel { shard: String::new(), jobs: vec![id] });
+                return body::text(200, "cancelled before\n");
+            }
+            Stored::Open { job, version } => (job, version),
+        };
+        let key = job_key(JOBS, id);
+        let cancelled = Job { cancelled: true, ..job };
+        let changes = Changes {
+            expect: vec![(key.clone(), version)],
+            put: vec![(key, table::to_json(&cancelled))],
+            remove: Vec::new(),
+        };
+        let left = deadline.saturating_sub(cx.now());
+        match cx.store.commit(&changes, PATIENCE.min(left)).await {
+            Ok(Outcome::Done { .. }) => {
+                tracing::info!(job = format_job(id), "gate: cancelled");
+                tell(cx, Request::Cancel { shard: String::new(), jobs: vec![id] });
+                return body::text(200, "cancelled\n");
+            }
+            Ok(Outcome::Conflict(_)) => {}
+            Err(e) => {
+                tracing::debug!(job = format_job(id), "gate: not known to be cancelled: {e}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    body::text(504, "it is not known whether the job is cancelled\n")
+}
+
+/// Answers how many jobs of a queue wait for their first start.
+pub(super) async fn waiting(cx: &Arc<Cx>, queue: &str, deadline: Duration) -> Response<Body> {
+    let left = deadline.saturating_sub(cx.now());
+    match ask(cx, Request::Waiting(queue.to_owned()), left).await {
+        Some(Answer::Count(n)) => {
+            let mut res = body::text(200, entry::waiting_body(n));
+            let json = hyper::header::HeaderValue::from_static("application/json");
+            res.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+            res
+        }
+        _ => refused(503, "the length of the queue is not known now"),
+    }
+}
--- /dev/null
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -0,0 +1,106 @@
+//! Requests of clients.
+
+mod jobs;
+mod route;
+
+use crate::cx::Cx;
+use bytes::Bytes;
+use catkin_http::body::{self, Body};
+use catkin_platform::config::Config;
+use catkin_platform::entry;
+use catkin_types::id::parse_job;
+use hyper::body::Incoming;
+use hyper::header::{HOST, RETRY_AFTER};
+use hyper::{Method, Request, Response};
+use route::{Found, find};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How long a client waits that does not say.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// What is left of a client's time for the way of the answer.
+const WAY_BACK: Duration = Duration::from_millis(150);
+/// When a client that was refused is to come again, in seconds.
+const RETRY_AFTER_S: &str = "1";
+/// How long the table service may be silent before this daemon takes no new connections.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// Answers a request of a client.
+pub async fn answer(cx: Arc<Cx>, req: Request<Incoming>) -> Response<Body> {
+    let config = cx.config.borrow().clone();
+    let Some(config) = config else { return refused(503, "no configuration yet") };
+    let path = req.uri().path().to_owned();
+    let host = req.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
+    let Some(found) = find(&config, host, &path) else { return body::text(404, "no such queue\n") };
+    let deadline = cx.now() + deadline(&req).saturating_sub(WAY_BACK);
+    let method = req.method().clone();
+    let rest = found.rest.to_owned();
+    match (method, parse_job(&rest)) {
+        (Method::POST, Some(id)) => submit(&cx, &config, &found, id, req, deadline).await,
+        (Method::GET, Some(id)) => jobs::state(&cx, id, deadline).await,
+        (Method::DELETE, Some(id)) => jobs::cancel(&cx, id, deadline).await,
+        (Method::GET, None) if rest.is_empty() => {
+            jobs::waiting(&cx, &found.route.queue, deadline).await
+        }
+        (Method::GET | Method::DELETE, None) => body::text(410, "no such job\n"),
+        (Method::POST, None) => body::text(400, "a job is named by 16 hexadecimal digits\n"),
+        _ => body::text(405, "no such method\n"),
+    }
+}
+
+async fn submit(
+    cx: &Arc<Cx>,
+    config: &Config,
+    found: &Found<'_>,
+    id: u64,
+    req: Request<Incoming>,
+    deadline: Duration,
+) -> Response<Body> {
+    let bytes = match body::read(req.into_body(), config.max_body).await {
+        Ok(bytes) => bytes,
+        Err(catkin_http::Error::TooLarge(max)) => {
+            return body::text(413, format!("the body is larger than {max} bytes\n"));
+        }
+        Err(e) => return body::text(400, format!("the body did not come whole: {e}\n")),
+    };
+    match parse(&bytes) {
+        Ok(mut job) => {
+            job.queue.clone_from(&found.route.queue);
+            job.service.clone_from(&found.route.rules.service);
+            job.accepted_ms = cx.table_ms();
+            jobs::accept(cx, id, job, deadline).await
+        }
+        Err(e) => body::text(400, format!("{e}\n")),
+    }
+}
+
+fn parse(bytes: &Bytes) -> Result<catkin_cell::Job, String> {
+    let job = entry::parse_job(bytes).map_err(|e| e.to_string())?;
+    job.check()?;
+    Ok(job)
+}
+
+/// How long the client waits for an answer.
+fn deadline<B>(req: &Request<B>) -> Duration {
+    let header = req.headers().get(entry::DEADLINE).and_then(|h| h.to_str().ok());
+    let ms = header.and_then(|h| h.trim().parse::<f64>().ok()).filter(|ms| *ms > 0.0);
+    ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok()).unwrap_or(DEADLINE)
+}
+
+/// The answer to a request that has not run.
+fn refused(status: u16, why: &str) -> Response<Body> {
+    let mut res = body::text(status, format!("{why}\n"));
+    res.headers_mut().insert(RETRY_AFTER, hyper::header::HeaderValue::from_static(RETRY_AFTER_S));
+    res
+}
+
+/// Answers whether this daemon takes connections.
+pub fn ready(cx: &Cx, path: &str) -> Response<Body> {
+    if path != entry::READY_PATH {
+        return body::text(404, "nothing here\n");
+    }
+    let configured = cx.config.borrow().is_some();
+    let well = configured && cx.table_silence() < SILENCE && !cx.draining.load(Ordering::Relaxed);
+    if well { body::text(200, "ready\n") } else { body::text(503, "not ready\n") }
+}
--- /dev/null
+++ b/crates/catkin-node/src/lead/load.rs
@@ -0,0 +1,149 @@
+//! Reading the jobs of the cell as its new owner.
+
+use crate::cx::Cx;
+use crate::table::{self, Head, PARTS};
+use catkin_cell::action::Loaded;
+use catkin_cell::worker::Listed;
+use catkin_cell::{Job, Progress};
+use catkin_platform::error::Error;
+use catkin_platform::list;
+use catkin_platform::store::{Changes, Outcome, Row};
+use catkin_types::id::parse_job;
+use catkin_types::{Epoch, JobId};
+use futures::future::try_join_all;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long one answer may take.
+const PATIENCE: Duration = Duration::from_millis(1_200);
+/// How often a call is tried.
+const TRIES: u32 = 8;
+/// The pause between two tries.
+const PAUSE: Duration = Duration::from_millis(120);
+
+/// What the owner of the cell begins with.
+#[derive(Debug, Default)]
+pub struct Start {
+    /// The jobs that are not at their end.
+    pub jobs: HashMap<JobId, Loaded>,
+    /// The versions of the rows of the parts.
+    pub heads: Vec<u64>,
+    /// The workers.
+    pub workers: Vec<Listed>,
+    /// Changes of jobs after this version are new.
+    pub jobs_version: u64,
+    /// Changes of workers after this version are new.
+    pub workers_version: u64,
+}
+
+/// Shuts earlier owners out of the rows of jobs, then reads these.
+///
+/// # Errors
+/// The table service does not answer, or there is a later owner.
+pub async fn load(cx: &Cx, epoch: Epoch) -> Result<Start, Error> {
+    let heads = try_join_all((0..PARTS).map(|part| claim(cx, part, epoch)));
+    let (heads, workers) = futures::try_join!(heads, all(cx, list::TABLE, ""))?;
+    let mut start = Start { heads, workers_version: workers.1, ..Start::default() };
+    start.workers = workers.0.iter().filter_map(listed).collect();
+    let parts = (0..PARTS).map(table::part_name);
+    let jobs = try_join_all(parts.clone().map(|part| all(cx, table::JOBS, part)));
+    // Progress is read after the jobs: what was accepted later has none.
+    let jobs = jobs.await?;
+    let progress = try_join_all(parts.map(|part| all(cx, table::PROGRESS, part))).await?;
+    start.jobs_version = jobs.iter().map(|(_, version)| *version).min().unwrap_or(0);
+    for row in jobs.iter().flat_map(|(rows, _)| rows) {
+        if let (Some(id), Some(job)) = (parse_job(&row.key), table::read::<Job>(row)) {
+            start.jobs.insert(id, Loaded { job, ..Loaded::default() });
+        }
+    }
+    for row in progress.iter().flat_map(|(rows, _)| rows) {
+        let Some(id) = parse_job(&row.key) else { continue };
+        if let (Some(j), Some(p)) = (start.jobs.get_mut(&id), table::read::<Progress>(row)) {
+            j.progress = p;
+        }
+    }
+    tracing::info!(epoch, jobs = start.jobs.len(), workers = start.workers.len(), "lead: read");
+    Ok(start)
+}
+
+/// What a row of the list of workers says.
+pub fn listed(row: &Row) -> Option<Listed> {
+    list::parse(&row.key, row.value.as_ref()?)
+}
+
+/// Makes the row of a part that of this term. Returns its version.
+async fn claim(cx: &Cx, part: usize, epoch: Epoch) -> Result<u64, Error> {
+    let key = table::head_key(part);
+    let mut version = None;
+    for _ in 0..TRIES {
+        let expected = match version {
+            Some(v) => v,
+            None => match cx.store.read_one(&key, PATIENCE).await {
+                Ok((row, clock)) => {
+                    cx.table_answered(clock);
+                    row.map_or(0, |r| r.version)
+                }
+                Err(e) => {
+                    tracing::debug!("lead: part {part} not read: {e}");
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        let head = Head { epoch, writes: 0 };
+        let changes = Changes {
+            expect: vec![(key.clone(), expected)],
+            put: vec![(key.clone(), table::to_json(&head))],
+            remove: Vec::new(),
+        };
+        match cx.store.commit(&changes, PATIENCE).await {
+            Ok(Outcome::Done { version, .. }) => return Ok(version),
+            Ok(Outcome::Conflict(rows)) => {
+                let row = rows.first();
+                let now: Head = row.and_then(table::read).unwrap_or_default();
+                let at = row.map_or(0, |r| r.version);
+                if now.epoch == epoch {
+                    return Ok(at);
+                }
+                if now.epoch > epoch {
+                    return Err(Error::NotDone("there is a later owner".into()));
+                }
+                version = Some(at);
+            }
+            Err(e) => {
+                tracing::debug!("lead: part {part} not claimed: {e}");
+                version = None;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    Err(Error::Unknown(format!("part {part} can't be claimed")))
+}
+
+/// All rows of a part of a table, and the version of the first answer.
+pub async fn all(cx: &Cx, table: &str, part: &str) -> Result<(Vec<Row>, u64), Error> {
+    let mut rows: Vec<Row> = Vec::new();
+    let mut version = None;
+    let mut tries = 0;
+    loop {
+        // The smallest key behind the last one.
+        let from = rows.last().map(|r| format!("{}\0", r.key));
+        match cx.store.read(table, part, from.as_deref(), None, PATIENCE).await {
+            Ok(answer) => {
+                cx.table_read(&answer);
+                let first = *version.get_or_insert(answer.version);
+                rows.extend(answer.rows);
+                if !answer.more {
+                    return Ok((rows, first));
+                }
+            }
+            Err(e) => {
+                tries += 1;
+                if tries >= TRIES {
+                    return Err(e);
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-node/src/lead/mod.rs
@@ -0,0 +1,297 @@
+//! Who owns the cell.
+//!
+//! A row of the table names the owner and its term. Whoever changes it under the condition that nobody else did owns
+//! the cell from then on. Workers and the rows of jobs refuse orders and writes of earlier terms, so that nothing
+//! depends on clocks but how soon an owner that died is followed by another.
+
+pub mod load;
+
+use crate::cx::{Cx, Leader};
+use crate::owner::{self, Owner};
+use crate::table::{self, Lead};
+use catkin_platform::error::Error;
+use catkin_platform::store::{Changes, Outcome, Row};
+use catkin_schema::peer::{Beat, Request, Response};
+use rand::RngExt;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How often the owner writes its row.
+pub const RENEW: Duration = Duration::from_millis(500);
+/// How old the row may become before somebody else takes over: the owner missed two of its writes.
+const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_500);
+/// The age from which an owner that does not call itself one is not just beginning.
+const BEGINNING: Duration = Duration::from_millis(600);
+/// How often the owner is called.
+const BEAT: Duration = Duration::from_millis(300);
+/// How long the owner may take to answer.
+const BEAT_PATIENCE: Duration = Duration::from_millis(400);
+/// How long the table service may take to answer.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// The pause before the row is read again.
+const READ_AGAIN: Duration = Duration::from_millis(200);
+/// For how long an owner acts without an answer of the table service.
+pub const AUTONOMY: Duration = Duration::from_secs(10);
+
+/// What is known of the row.
+#[derive(Clone, Debug, Default)]
+struct Known {
+    lead: Lead,
+    version: u64,
+}
+
+/// Follows the owner of the cell, and becomes it when there is none, until the daemon stops.
+pub async fn run(cx: Arc<Cx>) {
+    let mut failed = 0;
+    let mut known = Known::default();
+    loop {
+        let quiet = failed > 0 || known.lead.address.is_empty();
+        if quiet && let Some(now_known) = read(&cx).await {
+            known = now_known;
+            announce(&cx, &known.lead);
+            if !cx.is_draining() && is_free(&cx, &known.lead, failed) {
+                tokio::time::sleep(jitter()).await;
+                known = take_over(&cx, known).await;
+                announce(&cx, &known.lead);
+                failed = 0;
+                continue;
+            }
+        }
+        if known.lead.address.is_empty() {
+            tokio::time::sleep(READ_AGAIN).await;
+            continue;
+        }
+        match beat(&cx, &known.lead).await {
+            true => {
+                failed = 0;
+                tokio::time::sleep(BEAT).await;
+            }
+            false => {
+                failed += 1;
+                tokio::time::sleep(READ_AGAIN).await;
+            }
+        }
+    }
+}
+
+/// Daemons that find the cell free at the same time do not all write at once.
+fn jitter() -> Duration {
+    Duration::from_millis(rand::rng().random_range(0..60))
+}
+
+/// Whether the owner of the row let go, died, or has not renewed it for too long.
+fn is_free(cx: &Cx, lead: &Lead, failed: u32) -> bool {
+    if lead.address.is_empty() {
+        return true;
+    }
+    let age = Duration::from_millis(cx.table_ms().saturating_sub(lead.renewed_ms));
+    // This daemon does not own the cell: the row speaks of a life that is over, or of a term that it let go.
+    let own = lead.daemon == cx.cfg.daemon.id;
+    own || age > TAKE_OVER_AFTER || (failed > 1 && age > BEGINNING)
+}
+
+/// Calls the owner. Returns whether it answers as the owner of that term.
+async fn beat(cx: &Cx, lead: &Lead) -> bool {
+    let Ok(addr) = lead.address.parse() else { return false };
+    let req = Request::Beat(own_beat(cx));
+    match cx.calls.call(addr, req, BEAT_PATIENCE).await {
+        Ok(Response::Beat(b)) => b.leads == lead.epoch,
+        Ok(_) => false,
+        Err(e) => {
+            tracing::debug!("lead: the owner does not answer: {e}");
+            false
+        }
+    }
+}
+
+/// What this daemon says of itself.
+#[must_use]
+pub fn own_beat(cx: &Cx) -> Beat {
+    Beat {
+        daemon: cx.cfg.daemon.id.clone(),
+        incarnation: cx.incarnation,
+        limits_version: cx.config.borrow().as_ref().map_or(0, |c| c.version),
+        draining: cx.is_draining(),
+        address: cx.peer_address(),
+        leads: cx.leads.load(Ordering::Relaxed),
+        ..Beat::default()
+    }
+}
+
+async fn read(cx: &Cx) -> Option<Known> {
+    match cx.store.read_one(&table::lead_key(), PATIENCE).await {
+        Ok((row, clock_ms)) => {
+            cx.table_answered(clock_ms);
+            Some(row.map_or_else(Known::default, |r| known(&r)))
+        }
+        Err(e) => {
+            tracing::debug!("lead: not read: {e}");
+            None
+        }
+    }
+}
+
+fn known(row: &Row) -> Known {
+    Known { lead: table::read(row).unwrap_or_default(), version: row.version }
+}
+
+fn announce(cx: &Cx, lead: &Lead) {
+    let leader = lead.address.parse().ok().map(|addr| Leader { epoch: lead.epoch, addr });
+    cx.leader.send_if_modified(|old| {
+        let changed = *old != leader;
+        if changed {
+            tracing::info!(epoch = lead.epoch, daemon = lead.daemon, "lead: the cell is owned");
+            old.clone_from(&leader);
+        }
+        changed
+    });
+}
+
+/// Takes the cell over, owns it until somebody else does, and returns what is known of the row then.
+async fn take_over(cx: &Arc<Cx>, before: Known) -> Known {
+    if cx.config.borrow().is_none() {
+        tokio::time::sleep(READ_AGAIN).await;
+        return before;
+    }
+    let mine = Lead {
+        epoch: before.lead.epoch + 1,
+        daemon: cx.cfg.daemon.id.clone(),
+        incarnation: cx.incarnation,
+        address: cx.peer_address(),
+        renewed_ms: cx.table_ms(),
+    };
+    let known = match write(cx, &mine, before.version).await {
+        Written::Mine(version) => Known { lead: mine, version },
+        Written::Other(other) => return other,
+        Written::No => return before,
+    };
+    tracing::info!(
+        epoch = known.lead.epoch,
+        from = before.lead.daemon,
+        age_ms = known.lead.renewed_ms.saturating_sub(before.lead.renewed_ms),
+        "lead: taken over"
+    );
+    cx.leads.store(known.lead.epoch, Ordering::Relaxed);
+    announce(cx, &known.lead);
+    let known = own(cx, known).await;
+    cx.leads.store(0, Ordering::Relaxed);
+    cx.owner.send_replace(None);
+    known
+}
+
+/// What came of writing the row.
+enum Written {
+    Mine(u64),
+    Other(Known),
+    No,
+}
+
+/// Writes the row, and settles what came of it when the answer was lost.
+async fn write(cx: &Cx, lead: &Lead, version: u64) -> Written {
+    let key = table::lead_key();
+    let changes = Changes {
+        expect: vec![(key.clone(), version)],
+        put: vec![(key, table::to_json(lead))],
+        remove: Vec::new(),
+    };
+    match cx.store.commit(&changes, PATIENCE).await {
+        Ok(Outcome::Done { version, clock_ms }) => {
+            cx.table_answered(clock_ms);
+            Written::Mine(version)
+        }
+        Ok(Outcome::Conflict(rows)) => {
+            let other = rows.first().map_or_else(Known::default, known);
+            // An earlier try of the same write, whose answer was lost.
+            let same = other.lead.epoch == lead.epoch && other.lead.incarnation == lead.incarnation;
+            if same { Written::Mine(other.version) } else { Written::Other(other) }
+        }
+        Err(Error::NotDone(e)) => {
+            tracing::debug!("lead: not written: {e}");
+            Written::No
+        }
+        Err(e) => {
+            tracing::warn!("lead: it is not known whether the row is written: {e}");
+            Written::No
+        }
+    }
+}
+
+/// Owns the cell until somebody else does or the daemon stops.
+async fn own(cx: &Arc<Cx>, mut known: Known) -> Known {
+    let epoch = known.lead.epoch;
+    let load = load::load(cx, epoch);
+    tokio::pin!(load);
+    // The row is renewed also while the jobs are read.
+    let loaded = loop {
+        tokio::select! {
+            loaded = &mut load => match loaded {
+                Ok(loaded) => break loaded,
+                Err(e) => {
+                    tracing::warn!(epoch, "lead: let go, the jobs can't be read: {e}");
+                    return release(cx, known).await;
+                }
+            },
+            () = tokio::time::sleep(RENEW) => match renew(cx, &mut known).await {
+                Renewed::Other(other) => return other,
+                Renewed::Mine | Renewed::No => {}
+            },
+        }
+    };
+    let owner = Owner::start(Arc::clone(cx), epoch, loaded).await;
+    cx.owner.send_replace(Some(owner.clone()));
+    let mut confirmed = cx.now();
+    let end = loop {
+        tokio::select! {
+            () = tokio::time::sleep(RENEW) => {}
+            () = owner.deposed() => {
+                tracing::info!(epoch, "lead: a later owner was seen");
+                break Known::default();
+            }
+        }
+        if cx.is_draining() {
+            break release(cx, known).await;
+        }
+        match renew(cx, &mut known).await {
+            Renewed::Mine => confirmed = cx.now(),
+            Renewed::Other(other) => break other,
+            Renewed::No => {}
+        }
+        if cx.now().saturating_sub(confirmed) > AUTONOMY {
+            tracing::warn!(epoch, "lead: let go, the table service does not answer");
+            break known;
+        }
+    };
+    cx.owner.send_replace(None);
+    owner::stop(owner).await;
+    tracing::info!(epoch, next = end.lead.epoch, "lead: no longer the owner");
+    end
+}
+
+enum Renewed {
+    Mine,
+    Other(Known),
+    No,
+}
+
+async fn renew(cx: &Cx, known: &mut Known) -> Renewed {
+    let lead = Lead { renewed_ms: cx.table_ms(), ..known.lead.clone() };
+    match write(cx, &lead, known.version).await {
+        Written::Mine(version) => {
+            *known = Known { lead, version };
+            Renewed::Mine
+        }
+        Written::Other(other) => Renewed::Other(other),
+        Written::No => Renewed::No,
+    }
+}
+
+/// Lets go of the cell, so that the others need not wait.
+async fn release(cx: &Cx, mut known: Known) -> Known {
+    known.lead.address = String::new();
+    match write(cx, &known.lead, known.version).await {
+        Written::Mine(version) => Known { version, ..known },
+        Written::Other(other) => other,
+        Written::No => known,
+    }
+}
--- /dev/null
+++ b/crates/catkin-node/src/lib.rs
@@ -0,0 +1,23 @@
+//! The daemon on the users' platform.
+//!
+//! Every daemon takes requests of clients ([`gate`]) and asks the adviser for others ([`asks`]). One of them owns the
+//! cell ([`lead`]) and decides what starts where ([`owner`]).
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod asks;
+pub mod cx;
+pub mod error;
+pub mod gate;
+pub mod lead;
+pub mod node;
+pub mod owner;
+pub mod peers;
+pub mod settings;
+pub mod table;
+pub mod watch;
+
+pub use cx::Cx;
+pub use error::Error;
+pub use node::Node;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/catkin-node/src/node.rs
@@ -0,0 +1,109 @@
+//! The daemon as a whole.
+
+use crate::cx::Cx;
+use crate::settings::{Settings, millis};
+use crate::{Error, gate, lead, peers, watch};
+use catkin_http::server;
+use error_stack::{Report, ResultExt};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// How long the balancer takes to see that a daemon is not ready, and connections still come.
+const UNTIL_UNSEEN: Duration = Duration::from_millis(2_300);
+/// What is left of the time to stop for the end of the process.
+const LAST: Duration = Duration::from_millis(700);
+/// How many calls of other daemons may wait.
+const BACKLOG: usize = 1_024;
+/// How many unused connections to one address are kept.
+const IDLE_CONNECTIONS: usize = 4;
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Node {
+    cx: Arc<Cx>,
+    peering: catkin_peer::Peering,
+    /// Tasks that serve requests.
+    servers: TaskTracker,
+    /// Ends the servers.
+    close: CancellationToken,
+}
+
+impl Node {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    /// An address can't be listened on.
+    pub async fn start(cfg: Settings) -> Result<Self, Report<Error>> {
+        let listen = |addr: String| async move {
+            TcpListener::bind(&addr).await.change_context(Error::Listen).attach_with(|| addr)
+        };
+        let clients = listen(cfg.listen.clients.clone()).await?;
+        let ready = listen(cfg.listen.ready.clone()).await?;
+        let peer = listen(format!("{}:{}", cfg.daemon.ip, cfg.listen.peer_port)).await?;
+        let peer = peer.into_std().change_context(Error::Listen)?;
+        let opt = catkin_peer::Options {
+            id: cfg.daemon.id.clone(),
+            backlog: BACKLOG,
+            ..catkin_peer::Options::default()
+        };
+        let (calls_tx, calls_rx) = mpsc::channel(BACKLOG);
+        let peering =
+            catkin_peer::Peering::start(peer, opt, calls_tx).change_context(Error::Listen)?;
+        let http = catkin_http::Client::new(catkin_http::client::Options {
+            max_idle: IDLE_CONNECTIONS,
+            ..Default::default()
+        });
+        let (config_tx, config) = tokio::sync::watch::channel(None);
+        let cx = Arc::new(Cx::new(cfg, peering.calls.clone(), config, &http));
+        cx.spawn(watch::run(Arc::clone(&cx), config_tx));
+        cx.spawn(peers::run(Arc::clone(&cx), calls_rx));
+        cx.spawn(lead::run(Arc::clone(&cx)));
+        let node = Self { cx, peering, servers: TaskTracker::new(), close: CancellationToken::new() };
+        node.serve(clients, ready);
+        tracing::info!(
+            daemon = node.cx.cfg.daemon.id,
+            incarnation = node.cx.incarnation,
+            "node: started"
+        );
+        Ok(node)
+    }
+
+    fn serve(&self, clients: TcpListener, ready: TcpListener) {
+        let drain = millis(self.cx.cfg.bounds.stop_ms).saturating_sub(UNTIL_UNSEEN + LAST);
+        let opt = server::Options { drain, ..server::Options::default() };
+        let cx = Arc::clone(&self.cx);
+        let answer = move |req| gate::answer(Arc::clone(&cx), req);
+        let serving = server::serve(clients, opt.clone(), answer, self.close.clone());
+        self.servers.spawn(serving);
+        let cx = Arc::clone(&self.cx);
+        let answer = move |req: hyper::Request<hyper::body::Incoming>| {
+            std::future::ready(gate::ready(&cx, req.uri().path()))
+        };
+        let serving = server::serve(ready, opt, answer, self.close.clone());
+        self.servers.spawn(serving);
+    }
+
+    /// Stops: lets go of the cell, takes no new connections, ends the requests in progress, and joins all it spawned.
+    pub async fn stop(self) {
+        tracing::info!(daemon = self.cx.cfg.daemon.id, "node: stopping");
+        self.cx.draining.store(true, Ordering::Relaxed);
+        tokio::time::sleep(UNTIL_UNSEEN).await;
+        self.close.cancel();
+        self.servers.close();
+        self.servers.wait().await;
+        self.cx.stop.cancel();
+        self.cx.tasks.close();
+        let owner = self.cx.owner.send_replace(None);
+        if let Some(owner) = owner {
+            crate::owner::stop(owner).await;
+        }
+        self.cx.tasks.wait().await;
+        self.peering.stop().await;
+        tracing::info!(daemon = self.cx.cfg.daemon.id, "node: stopped");
+    }
+}
--- /dev/null
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -0,0 +1,348 @@
+//! The owner of the cell: an actor around the decisions of [`catkin_cell`].
+
+mod commits;
+mod feeds;
+mod looks;
+mod orders;
+mod pass;
+
+use crate::asks::Askers;
+use crate::cx::Cx;
+use crate::lead::load;
+use catkin_cell::action::Loaded;
+use catkin_cell::cell::Advised;
+use catkin_cell::worker::{Listed, Reply, Seen};
+use catkin_cell::{Action, Ask, Cell, Job, Options, Start, State, Stop, Write};
+use catkin_platform::config::Config;
+use catkin_types::{Epoch, JobId, WorkerId};
+use commits::Parts;
+use looks::Looks;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// What the owner hears.
+#[derive(Debug)]
+pub enum Message {
+    /// It is time to decide.
+    Pass,
+    /// Time went by.
+    Tick,
+    /// A job was accepted.
+    Offer(JobId, Box<Job>),
+    /// A job was cancelled.
+    Cancel(JobId),
+    /// Asks for the state of a job.
+    State(JobId, oneshot::Sender<Option<State>>),
+    /// Asks how many jobs of a queue wait for their first start.
+    Waiting(String, oneshot::Sender<u64>),
+    /// A daemon says that it is there.
+    Heard(SocketAddr, bool),
+    /// There is a newer configuration.
+    Config(Arc<Config>),
+    /// The list of workers, whole or what changed; and those that are gone from it.
+    Listed {
+        /// Those that are there.
+        workers: Vec<Listed>,
+        /// Those that are gone.
+        gone: Vec<WorkerId>,
+        /// Whether the list is whole.
+        whole: bool,
+    },
+    /// Jobs as the table has them.
+    Stored(Vec<(JobId, Job)>),
+    /// A look at a worker, sent at the time given, was answered, declined or lost.
+    Seen(WorkerId, Duration, bool, Option<Result<Seen, Reply>>),
+    /// An order to start was answered.
+    Started(Box<Start>, Reply),
+    /// An order to stop was answered.
+    Stopped(Box<Stop>, Reply),
+    /// A question was answered, by the daemon given.
+    Advised(Box<Ask>, Option<SocketAddr>, Duration, Option<Advised>),
+    /// A batch of a part is durable, and the row of the part has this version.
+    Written(usize, Vec<Write>, u64),
+    /// There is a later owner.
+    Deposed,
+}
+
+/// A running owner.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    actor: ActorRef<Message>,
+    deposed: CancellationToken,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+}
+
+impl Owner {
+    /// Starts the owner of a term.
+    pub async fn start(cx: Arc<Cx>, epoch: Epoch, loaded: load::Start) -> Self {
+        let deposed = CancellationToken::new();
+        let stop = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        let args = Args {
+            cx,
+            epoch,
+            loaded,
+            deposed: deposed.clone(),
+            tasks: tasks.clone(),
+            stop: stop.clone(),
+        };
+        let (actor, _) = Actor::spawn(None, Runner, args).await.unwrap_or_else(|e| {
+            unreachable!("the owner's start has no way to fail: {e}");
+        });
+        Self { actor, deposed, tasks, stop }
+    }
+
+    /// Ends when a later owner was seen.
+    pub async fn deposed(&self) {
+        self.deposed.cancelled().await;
+    }
+
+    /// Tells the owner something.
+    pub fn tell(&self, msg: Message) {
+        if let Err(e) = self.actor.send_message(msg) {
+            tracing::debug!("owner: it is stopped: {e}");
+        }
+    }
+
+    /// Asks the owner something.
+    pub async fn ask<T>(&self, msg: impl FnOnce(oneshot::Sender<T>) -> Message) -> Option<T> {
+        let (tx, rx) = oneshot::channel();
+        self.tell(msg(tx));
+        rx.await.ok()
+    }
+}
+
+/// Stops an owner and joins all it spawned.
+pub async fn stop(owner: Owner) {
+    owner.stop.cancel();
+    owner.tasks.close();
+    if let Err(e) = owner.actor.stop_and_wait(None, None).await {
+        tracing::debug!("owner: it was stopped before: {e}");
+    }
+    owner.tasks.wait().await;
+}
+
+#[derive(Debug)]
+struct Args {
+    cx: Arc<Cx>,
+    epoch: Epoch,
+    loaded: load::Start,
+    deposed: CancellationToken,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+}
+
+#[derive(Debug)]
+struct Runner;
+
+/// The state of the actor.
+struct Running {
+    cx: Arc<Cx>,
+    cell: Cell,
+    parts: Parts,
+    looks: Looks,
+    askers: Askers,
+    me: ActorRef<Message>,
+    deposed: CancellationToken,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+    /// Whether a [`Message::Pass`] is on its way.
+    pass_pending: bool,
+    last_pass: Duration,
+}
+
+/// The least time between two passes over what waits.
+const PASS_EVERY: Duration = Duration::from_millis(8);
+/// How often time is seen to go by.
+const TICK: Duration = Duration::from_millis(100);
+
+impl Actor for Runner {
+    type Msg = Message;
+    type State = Running;
+    type Arguments = Args;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<Message>,
+        args: Args,
+    ) -> Result<Running, ActorProcessingErr> {
+        let now = args.cx.now();
+        let b = &args.cx.cfg.bounds;
+        let opt = Options {
+            lease: crate::settings::millis(b.lease_ms),
+            gang_wait: crate::settings::millis(b.gang_wait_ms),
+            far_factor: b.far_factor,
+            remember: crate::settings::millis(b.remember_ms),
+            autonomy: crate::lead::AUTONOMY,
+            ..Options::default()
+        };
+        let cell = Cell::new(opt, args.epoch, now);
+        let mut state = Running {
+            cell,
+            parts: Parts::new(args.epoch, args.loaded.heads.clone()),
+            looks: Looks::default(),
+            askers: Askers::default(),
+            me: me.clone(),
+            deposed: args.deposed,
+            tasks: args.tasks,
+            stop: args.stop,
+            pass_pending: false,
+            last_pass: Duration::ZERO,
+            cx: args.cx,
+        };
+        state.begin(args.loaded, now);
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _: ActorRef<Message>,
+        msg: Message,
+        state: &mut Running,
+    ) -> Result<(), ActorProcessingErr> {
+        state.handle(msg);
+        Ok(())
+    }
+}
+
+impl Running {
+    fn begin(&mut self, loaded: load::Start, now: Duration) {
+        let config = self.cx.config.borrow().clone();
+        if let Some(config) = config {
+            self.configure(&config);
+        }
+        for (id, l) in loaded.jobs {
+            let age = self.age(l.job.accepted_ms);
+            self.cell.add(id, l, age, now);
+        }
+        self.cell.list(loaded.workers, false, now);
+        self.follow_config();
+        self.follow_workers(loaded.workers_version);
+        self.follow_jobs(loaded.jobs_version);
+        let me = self.me.clone();
+        self.spawn(async move {
+            loop {
+                tokio::time::sleep(TICK).await;
+                if me.send_message(Message::Tick).is_err() {
+                    return;
+                }
+            }
+        });
+        self.pass();
+    }
+
+    fn configure(&mut self, config: &Config) {
+        let queues = config.routes.iter().map(|r| (r.queue.clone(), r.rules.clone()));
+        self.cell.configure(queues);
+    }
+
+    /// How long ago a time on the table's clock was.
+    fn age(&self, at_ms: u64) -> Duration {
+        if at_ms == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_millis(self.cx.table_ms().saturating_sub(at_ms))
+    }
+
+    /// Spawns a task that ends with the owner.
+    fn spawn<F>(&self, f: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = f => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+
+    fn handle(&mut self, msg: Message) {
+        let now = self.cx.now();
+        let mut out = Vec::new();
+        match msg {
+            Message::Pass => {
+                self.pass_pending = false;
+                self.pass();
+                return;
+            }
+            Message::Tick => {}
+            Message::Offer(id, job) => self.add(id, *job, now),
+            Message::Stored(jobs) => {
+                for (id, job) in jobs {
+                    self.stored(id, job, now, &mut out);
+                }
+            }
+            Message::Cancel(id) => self.cell.cancel(id, &mut out),
+            Message::State(id, tx) => {
+                drop(tx.send(self.cell.state(id)));
+                return;
+            }
+            Message::Waiting(queue, tx) => {
+                drop(tx.send(self.cell.waiting(&queue)));
+                return;
+            }
+            Message::Heard(addr, draining) => {
+                self.askers.heard(addr, draining, now);
+                return;
+            }
+            Message::Config(config) => self.configure(&config),
+            Message::Listed { workers, gone, whole } => {
+                self.cell.list(workers, !whole, now);
+                gone.iter().for_each(|id| self.cell.unlist(id, now));
+            }
+            Message::Seen(id, sent, long, seen) => {
+                self.seen(&id, sent, long, seen, now, &mut out);
+            }
+            Message::Started(s, reply) => self.cell.started(&s, reply, now, &mut out),
+            Message::Stopped(s, reply) => self.cell.stopped(&s, reply, now, &mut out),
+            Message::Advised(ask, by, sent, advised) => self.advised(&ask, by, sent, advised, now),
+            Message::Written(part, batch, version) => {
+                self.parts.written(part, version, now);
+                self.cell.written(&batch, now);
+            }
+            Message::Deposed => self.deposed.cancel(),
+        }
+        self.act(out, now);
+        self.pass_soon(now);
+    }
+
+    fn add(&mut self, id: JobId, job: Job, now: Duration) {
+        let age = self.age(job.accepted_ms);
+        self.cell.add(id, Loaded { job, ..Loaded::default() }, age, now);
+    }
+
+    /// A row of a job, as it is now.
+    fn stored(&mut self, id: JobId, job: Job, now: Duration, out: &mut Vec<Action>) {
+        if !self.cell.knows(id) {
+            self.add(id, job, now);
+        } else if job.cancelled {
+            self.cell.cancel(id, out);
+        }
+    }
+
+    /// Decides soon, so that what happens at about the same time is decided together.
+    fn pass_soon(&mut self, now: Duration) {
+        if self.pass_pending {
+            return;
+        }
+        self.pass_pending = true;
+        let wait = (self.last_pass + PASS_EVERY).saturating_sub(now);
+        let me = self.me.clone();
+        if wait.is_zero() {
+            drop(me.send_message(Message::Pass));
+            return;
+        }
+        self.spawn(async move {
+            tokio::time::sleep(wait).await;
+            drop(me.send_message(Message::Pass));
+        });
+    }
+}
--- /dev/null
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -0,0 +1,76 @@
+//! One pass over all that waits.
+
+use super::{Message, Running};
+use crate::asks;
+use catkin_cell::Action;
+use catkin_cell::Ask;
+use catkin_cell::cell::Advised;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+impl Running {
+    pub(super) fn pass(&mut self) {
+        let now = self.cx.now();
+        self.last_pass = now;
+        let mut out = Vec::new();
+        self.cell.begin_occurrences(wall_ms());
+        self.cell.tick(now, &mut out);
+        self.act(out, now);
+        self.commit(now);
+        self.look_around(now);
+        self.ask_around(now);
+    }
+
+    /// Has done what the cell decided.
+    pub(super) fn act(&mut self, actions: Vec<Action>, now: Duration) {
+        for action in actions {
+            match action {
+                Action::Start(s) => self.order_start(s),
+                Action::Stop(s) => self.order_stop(s),
+                Action::Ask(ask) => self.askers.push(ask),
+                Action::Look(id) => self.look(&id, Duration::ZERO, now),
+                Action::Deposed => self.deposed.cancel(),
+            }
+        }
+    }
+
+    /// Hands questions to the daemons that are free to ask.
+    fn ask_around(&mut self, now: Duration) {
+        let cell = &self.cell;
+        self.askers.retain(|a| cell.is_open(a.step.job));
+        while let Some((ask, by)) = self.askers.next(now) {
+            let (cx, me) = (std::sync::Arc::clone(&self.cx), self.me.clone());
+            self.spawn(async move {
+                let sent = cx.now();
+                let answer = asks::ask_by(&cx, by, &ask).await;
+                let answer = answer
+                    .inspect_err(|e| {
+                        tracing::debug!(job = format!("{:016x}", ask.step.job), "owner: no advice: {e}");
+                    })
+                    .ok()
+                    .map(Advised::Good);
+                drop(me.send_message(Message::Advised(Box::new(ask), by, sent, answer)));
+            });
+        }
+    }
+
+    pub(super) fn advised(
+        &mut self,
+        ask: &Ask,
+        by: Option<SocketAddr>,
+        sent: Duration,
+        advised: Option<Advised>,
+        now: Duration,
+    ) {
+        self.askers.answered(by, advised.is_some(), now);
+        // The adviser decided at the earliest so long after it was asked.
+        let answered = (sent + ask.cost).min(now);
+        self.cell.advised(ask, advised.unwrap_or(Advised::Nothing), answered, now);
+    }
+}
+
+/// The time of day, in milliseconds since 1970.
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/catkin-node/src/table/mod.rs
@@ -0,0 +1,158 @@
+//! The rows that the daemons keep in the table service.
+//!
+//! | table | part | key | value | written by |
+//! | --- | --- | --- | --- | --- |
+//! | `cell` | | `lead` | [`Lead`] | the owner, each [`crate::lead::RENEW`]; whoever takes over |
+//! | `shard` | `0`.. | `head` | [`Head`] | the owner, with every write of jobs of the part |
+//! | `job` | `0`.. | job | [`Job`] | the daemon that accepts or cancels it; the owner drops it |
+//! | `progress` | `0`.. | job | [`Progress`] | the owner |
+//! | `ended` | `0`.. | job | [`End`] | the owner |
+
+use catkin_cell::{Job, Progress, State};
+use catkin_platform::store::{Changes, Key, Row};
+use catkin_types::id::format_job;
+use catkin_types::{DaemonId, Epoch, JobId};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+
+/// Into how many parts jobs are divided. Each takes one transaction at a time.
+pub const PARTS: usize = 4;
+
+/// The names of the parts.
+const PART_NAMES: [&str; PARTS] = ["0", "1", "2", "3"];
+
+/// Who owns the cell.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lead {
+    /// The term.
+    pub epoch: Epoch,
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Where it takes calls; empty once it has let go.
+    pub address: String,
+    /// When it wrote this, in milliseconds on the table's clock.
+    pub renewed_ms: u64,
+}
+
+/// Who may write the jobs of a part, and how often that was done in the term.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The term.
+    pub epoch: Epoch,
+    /// The writes of the term so far.
+    pub writes: u64,
+}
+
+/// The end of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// How it ended.
+    pub state: State,
+    /// When, in milliseconds on the table's clock.
+    pub at_ms: u64,
+}
+
+/// The table of jobs.
+pub const JOBS: &str = "job";
+/// The table of their progress.
+pub const PROGRESS: &str = "progress";
+/// The table of their ends.
+pub const ENDED: &str = "ended";
+
+/// The part of a job.
+#[must_use]
+pub fn part_of(job: JobId) -> usize {
+    usize::try_from(job % PARTS as u64).unwrap_or(0)
+}
+
+/// The name of a part.
+#[must_use]
+pub fn part_name(part: usize) -> &'static str {
+    PART_NAMES[part % PARTS]
+}
+
+fn key(table: &'static str, part: &'static str, key: impl Into<String>) -> Key {
+    Key { table: Cow::Borrowed(table), part: Cow::Borrowed(part), key: key.into() }
+}
+
+/// The row of who owns the cell.
+#[must_use]
+pub fn lead_key() -> Key {
+    key("cell", "", "lead")
+}
+
+/// The row of a part.
+#[must_use]
+pub fn head_key(part: usize) -> Key {
+    key("shard", part_name(part), "head")
+}
+
+/// A row of a job.
+#[must_use]
+pub fn job_key(table: &'static str, job: JobId) -> Key {
+    key(table, part_name(part_of(job)), format_job(job))
+}
+
+/// What accepts a job, unless it was accepted before.
+#[must_use]
+pub fn accept(id: JobId, job: &Job) -> Changes {
+    Changes {
+        expect: vec![(job_key(JOBS, id), 0), (job_key(ENDED, id), 0)],
+        put: vec![(job_key(JOBS, id), to_json(job))],
+        remove: Vec::new(),
+    }
+}
+
+/// The bytes of a row.
+#[must_use]
+pub fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_else(|e| {
+        tracing::error!("table: a row can't be written: {e}");
+        Vec::new()
+    })
+}
+
+/// What a row holds, nothing if it can't be read.
+#[must_use]
+pub fn read<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    let value = row.value.as_ref()?;
+    serde_json::from_slice(value)
+        .inspect_err(|e| tracing::error!("table: row {} can't be read: {e}", row.key))
+        .ok()
+}
+
+/// The changes of a batch of writes of one part.
+#[must_use]
+pub fn batch(
+    part: usize,
+    head_version: u64,
+    head: Head,
+    writes: &[catkin_cell::Write],
+    now_ms: u64,
+) -> Changes {
+    use catkin_cell::Write;
+    let mut changes = Changes {
+        expect: vec![(head_key(part), head_version)],
+        put: vec![(head_key(part), to_json(&head))],
+        remove: Vec::new(),
+    };
+    for w in writes {
+        match w {
+            Write::Progress(id, progress) => put_progress(&mut changes, *id, progress),
+            Write::Ended(id, state) => {
+                let end = End { state: *state, at_ms: now_ms };
+                changes.put.push((job_key(ENDED, *id), to_json(&end)));
+                changes.remove.push(job_key(JOBS, *id));
+                changes.remove.push(job_key(PROGRESS, *id));
+            }
+        }
+    }
+    changes
+}
+
+fn put_progress(changes: &mut Changes, id: JobId, progress: &Progress) {
+    changes.put.push((job_key(PROGRESS, id), to_json(progress)));
+}
--- a/crates/catkin-peer/src/client/mod.rs
+++ b/crates/catkin-peer/src/client/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) struct Outgoing {
     to: SocketAddr,
     req: Request,
+    timeout: Duration,
     tx: oneshot::Sender<Result<Response, Error>>,
 }
 
@@ -50,15 +51,11 @@
         timeout: Duration,
     ) -> Result<Response, Error> {
         let (tx, rx) = oneshot::channel();
-        let outgoing = Outgoing { to, req, tx };
+        let outgoing = Outgoing { to, req, timeout, tx };
         if self.tx.try_send(outgoing).is_err() {
             return Err(Error::NotSent("too many calls wait".into()));
         }
-        match tokio::time::timeout(timeout, rx).await {
-            Ok(Ok(res)) => res,
-            Ok(Err(_)) => Err(Error::Lost("the peer side stopped".into())),
-            Err(_) => Err(Error::Lost(format!("no answer within {} ms", timeout.as_millis()))),
-        }
+        rx.await.unwrap_or_else(|_| Err(Error::Lost("the peer side stopped".into())))
     }
 }
 
@@ -75,7 +72,12 @@
         while calls.try_join_next().is_some() {}
         let (opt, rooms, traffic) = (Arc::clone(&opt), Rc::clone(&rooms), Arc::clone(&traffic));
         calls.spawn_local(async move {
-            let res = call(&opt, &rooms, &traffic, out.to, &out.req).await;
+            let call = call(&opt, &rooms, &traffic, out.to, &out.req);
+            let res = tokio::time::timeout(out.timeout, call).await.unwrap_or_else(|_| {
+                // The connection may have gone silent for good: the next call opens another one.
+                rooms.borrow_mut().remove(&out.to);
+                Err(Error::Lost(format!("no answer within {} ms", out.timeout.as_millis())))
+            });
             let _ = out.tx.send(res);
         });
     }
--- a/crates/catkin-schema/src/peer/decode.rs
+++ b/crates/catkin-schema/src/peer/decode.rs
@@ -1,7 +1,7 @@
 //! Messages to plain types.
 
-use super::{Acquire, Aggregate, Beat, Permit, Refused, Release, Request, Response};
-use crate::peer_capnp::{aggregate, beat, refused, request, response};
+use super::{Acquire, Advise, Aggregate, Beat, Permit, Refused, Release, Request, Response};
+use crate::peer_capnp::{aggregate, beat, refused, request, response, ticket};
 use capnp::Error;
 use catkin_types::Resources;
 use std::time::Duration;
@@ -32,7 +32,8 @@
             }
             request::Offer(x) => {
                 let x = x?;
-                Self::Offer { shard: x.get_shard()?.to_string()?, job: x.get_job() }
+                let shard = x.get_shard()?.to_string()?;
+                Self::Offer { shard, job: x.get_job(), body: x.get_body()?.to_vec() }
             }
             request::Cancel(x) => {
                 let x = x?;
@@ -42,6 +43,18 @@
             request::JobStatus(job) => Self::JobStatus(job),
             request::Explain(job) => Self::Explain(job),
             request::Look(()) => Self::Look,
+            request::Waiting(queue) => Self::Waiting(queue?.to_string()?),
+            request::Advise(x) => {
+                let x = x?;
+                let text = |w: capnp::Result<capnp::text::Reader<'_>>| Ok(w?.to_string()?);
+                Self::Advise(Advise {
+                    job: x.get_job(),
+                    occurrence: x.get_occurrence(),
+                    step: x.get_step(),
+                    workers: x.get_workers()?.iter().map(text).collect::<Result<_, Error>>()?,
+                    wait: Duration::from_millis(x.get_wait_ms()),
+                })
+            }
             request::Workers(shard) => Self::Workers(shard?.to_string()?),
         })
     }
@@ -68,6 +81,13 @@
             response::Done(()) => Self::Done,
             response::Refused(x) => Self::Refused(Refused::decode(x?)?),
             response::Text(json) => Self::Text(json?.to_vec()),
+            response::Count(n) => Self::Count(n),
+            response::Advice(rows) => {
+                let ticket = |t: ticket::Reader<'_>| -> Result<_, Error> {
+                    Ok((t.get_worker()?.to_string()?, t.get_text()?.to_string()?))
+                };
+                Self::Advice(rows?.iter().map(ticket).collect::<Result<_, _>>()?)
+            }
         })
     }
 }
@@ -80,6 +100,8 @@
             limits_version: r.get_limits_version(),
             draining: r.get_draining(),
             shards: r.get_shards()?.iter().map(Aggregate::decode).collect::<Result<_, _>>()?,
+            address: r.get_address()?.to_string()?,
+            leads: r.get_leads(),
         })
     }
 }
--- a/crates/catkin-schema/src/peer/encode.rs
+++ b/crates/catkin-schema/src/peer/encode.rs
@@ -24,10 +24,11 @@
                 b.set_id(x.id);
                 b.set_healthy(x.healthy);
             }
-            Self::Offer { shard, job } => {
+            Self::Offer { shard, job, body } => {
                 let mut b = b.init_offer();
                 b.set_shard(shard);
                 b.set_job(*job);
+                b.set_body(body);
             }
             Self::Cancel { shard, jobs } => {
                 let mut b = b.init_cancel();
@@ -39,6 +40,16 @@
             Self::Explain(job) => b.set_explain(*job),
             Self::Workers(shard) => b.set_workers(shard),
             Self::Look => b.set_look(()),
+            Self::Waiting(queue) => b.set_waiting(queue),
+            Self::Advise(x) => {
+                let mut b = b.init_advise();
+                b.set_job(x.job);
+                b.set_occurrence(x.occurrence);
+                b.set_step(x.step);
+                b.set_wait_ms(millis(x.wait));
+                let mut list = b.init_workers(len(&x.workers));
+                (0..).zip(&x.workers).for_each(|(i, w)| list.set(i, w));
+            }
         }
     }
 }
@@ -60,6 +71,15 @@
             Self::Done => b.set_done(()),
             Self::Refused(x) => x.encode(b.init_refused()),
             Self::Text(json) => b.set_text(json),
+            Self::Count(n) => b.set_count(*n),
+            Self::Advice(rows) => {
+                let mut list = b.init_advice(len(rows));
+                for (i, (worker, text)) in (0..).zip(rows) {
+                    let mut ticket = list.reborrow().get(i);
+                    ticket.set_worker(worker);
+                    ticket.set_text(text);
+                }
+            }
         }
     }
 }
@@ -70,6 +90,8 @@
         b.set_incarnation(self.incarnation);
         b.set_limits_version(self.limits_version);
         b.set_draining(self.draining);
+        b.set_address(&self.address);
+        b.set_leads(self.leads);
         let mut list = b.init_shards(len(&self.shards));
         (0..).zip(&self.shards).for_each(|(i, s)| s.encode(list.reborrow().get(i)));
     }
--- a/crates/catkin-schema/src/peer/mod.rs
+++ b/crates/catkin-schema/src/peer/mod.rs
@@ -3,7 +3,7 @@
 mod decode;
 mod encode;
 
-use catkin_types::{DaemonId, Epoch, JobId, Resources, RowName, ShardId};
+use catkin_types::{DaemonId, Epoch, JobId, Resources, RowName, ShardId, WorkerId};
 use std::time::Duration;
 
 /// A call of a peer.
@@ -25,6 +25,8 @@
         shard: ShardId,
         /// The job.
         job: JobId,
+        /// The job as it was stored, empty if it has to be read.
+        body: Vec<u8>,
     },
     /// Tells the owner of a shard that jobs were cancelled.
     Cancel {
@@ -41,6 +43,10 @@
     Workers(ShardId),
     /// Tells that shards changed owners, so that they are read at once.
     Look,
+    /// Asks how many jobs of a queue wait for their first start.
+    Waiting(String),
+    /// Has the adviser asked about a step of a job.
+    Advise(Advise),
 }
 
 /// The answer to a call.
@@ -60,6 +66,25 @@
     Refused(Refused),
     /// JSON for an operator or a caller.
     Text(Vec<u8>),
+    /// A number.
+    Count(u64),
+    /// The workers that may run a step, with their tickets.
+    Advice(Vec<(WorkerId, String)>),
+}
+
+/// A question to the adviser.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Advise {
+    /// The job.
+    pub job: JobId,
+    /// Which time the job runs.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u32,
+    /// The workers in question.
+    pub workers: Vec<WorkerId>,
+    /// How long the answer is waited for.
+    pub wait: Duration,
 }
 
 /// How a daemon is.
@@ -75,6 +100,10 @@
     pub draining: bool,
     /// The shards that it owns.
     pub shards: Vec<Aggregate>,
+    /// Where it takes calls, if it has to be told.
+    pub address: String,
+    /// The term in which it owns the cell, 0 if it does not.
+    pub leads: Epoch,
 }
 
 /// What an owner says of a shard.
--- a/crates/catkin-schema/tests/schema/peer.rs
+++ b/crates/catkin-schema/tests/schema/peer.rs
@@ -2,7 +2,7 @@
 
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
-use catkin_schema::peer::{Acquire, Aggregate, Beat, Permit, Refused, Release, Request, Response};
+use catkin_schema::peer::{Acquire, Advise, Aggregate, Beat, Permit, Refused, Release, Request, Response};
 use catkin_schema::peer_capnp::{request, response};
 use catkin_types::Resources;
 use std::time::Duration;
@@ -21,6 +21,8 @@
         limits_version: 8,
         draining: true,
         shards: vec![shard],
+        address: "10.0.0.1:7720".into(),
+        leads: 12,
     }
 }
 
@@ -38,12 +40,20 @@
         Request::PullLimits(7),
         Request::Acquire(acquire),
         Request::Release(Release { shard: "s".into(), id: 1, healthy: true }),
-        Request::Offer { shard: "s".into(), job: 2 },
+        Request::Offer { shard: "s".into(), job: 2, body: b"{}".to_vec() },
         Request::Cancel { shard: "s".into(), jobs: vec![1, 2, 3] },
         Request::JobStatus(4),
         Request::Explain(5),
         Request::Workers("s".into()),
         Request::Look,
+        Request::Waiting("q".into()),
+        Request::Advise(Advise {
+            job: 6,
+            occurrence: 1,
+            step: 2,
+            workers: vec!["a".into(), "b".into()],
+            wait: Duration::from_millis(7),
+        }),
     ];
     for req in all {
         let mut message = Builder::new_default();
@@ -66,6 +76,8 @@
         Response::Done,
         Response::Refused(refused),
         Response::Text(b"[]".to_vec()),
+        Response::Count(3),
+        Response::Advice(vec![("a".into(), "t".into())]),
     ];
     for res in all {
         let mut message = Builder::new_default();
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -23,6 +23,8 @@
     explain @8 :UInt64;         # the job
     workers @9 :Text;           # the shard
     look @10 :Void;             # shards changed: read them now
+    waiting @11 :Text;          # the queue
+    advise @12 :Advise;
   }
 }
 
@@ -35,6 +37,8 @@
     done @4 :Void;
     refused @5 :Refused;
     text @6 :Data;              # JSON for an operator or a caller
+    count @7 :UInt64;
+    advice @8 :List(Ticket);
   }
 }
 
@@ -44,6 +48,8 @@
   limitsVersion @2 :UInt64;
   draining @3 :Bool;
   shards @4 :List(Aggregate);
+  address @5 :Text;             # where the daemon takes calls, if it has to be told
+  leads @6 :UInt64;             # the term in which it owns the cell, 0 if it does not
 }
 
 struct Aggregate {
@@ -81,6 +87,21 @@
 struct Offer {
   shard @0 :Text;
   job @1 :UInt64;
+  body @2 :Data;                # the job as it was stored, empty if it has to be read
+}
+
+struct Advise {
+  # Ask the adviser about a step of a job.
+  job @0 :UInt64;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  workers @3 :List(Text);
+  waitMs @4 :UInt64;
+}
+
+struct Ticket {
+  worker @0 :Text;
+  text @1 :Text;
 }
 
 struct Cancel {
--- a/src/bin/catkincartd/cli.rs
+++ b/src/bin/catkincartd/cli.rs
@@ -23,6 +23,12 @@
         /// The settings.
         settings: PathBuf,
     },
+    /// Runs on the users' platform until a signal to stop.
+    Node {
+        /// The settings.
+        #[arg(env = "CATKINCART_NODE_FILE")]
+        settings: PathBuf,
+    },
     /// Checks settings.
     Check {
         /// The settings: files, or folders of them.
--- a/src/bin/catkincartd/main.rs
+++ b/src/bin/catkincartd/main.rs
@@ -6,6 +6,7 @@
 mod dev;
 mod error;
 mod log;
+mod node;
 mod run;
 
 use clap::Parser;
@@ -32,6 +33,10 @@
             log::start(&settings.log);
             runtime(args.threads)?.block_on(run::run(settings))
         }
+        Command::Node { settings } => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            runtime.change_context(Error::Runtime)?.block_on(node::run(&settings))
+        }
         Command::Dev { listen, once } => runtime(args.threads)?.block_on(dev::dev(&listen, once)),
     }
 }
