--- a/crates/catkin-cell/src/action.rs
+++ b/crates/catkin-cell/src/action.rs
@@ -3,6 +3,7 @@
 use crate::job::{Job, State};
 use crate::progress::Progress;
 use crate::task::{StepRef, Task};
+use crate::worker::No;
 use catkin_types::{Incarnation, JobId, WorkerId};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +18,7 @@
     /// Ask which workers may run a step.
     Ask(Ask),
     /// Look at a worker now, beside the look that waits there.
-    Look(WorkerId),
+    Look(No),
     /// Let go of the cell: somebody else owns it.
     Deposed,
 }
@@ -26,7 +27,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Start {
     /// The worker.
-    pub worker: WorkerId,
+    pub worker: No,
     /// Its life.
     pub born: Incarnation,
     /// The task.
@@ -47,7 +48,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Stop {
     /// The worker.
-    pub worker: WorkerId,
+    pub worker: No,
     /// Its life.
     pub born: Incarnation,
     /// The task.
--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -4,6 +4,7 @@
 use crate::action::{Action, Ask};
 use crate::step::Ticket;
 use crate::task::StepRef;
+use crate::worker::No;
 use catkin_types::WorkerId;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -30,20 +31,21 @@
             .get(&ask.step.job)
             .and_then(|j| self.queues.get(&j.job.queue)?.advice)
             .map_or(Duration::ZERO, |a| a.valid);
-        let Some(step) = self.step_mut(ask.step) else { return };
+        let Self { jobs, numbers, .. } = self;
+        let Some(step) = jobs.get_mut(&ask.step.job).and_then(|j| j.step_mut(ask.step)) else {
+            return;
+        };
         step.asking_since = None;
         let Advised::Good(rows) = advised else {
             step.ask_after = now + ASK_AGAIN;
             return;
         };
-        for id in &ask.workers {
-            if !step.asked.contains(id) {
-                step.asked.push(id.clone());
-            }
-        }
+        ask.workers.iter().filter_map(|id| numbers.get(id)).for_each(|no| step.asked.insert(*no));
         let good = step.good.get_or_insert_with(HashMap::new);
         for (id, text) in rows {
-            good.insert(id, Ticket { text, valid_until: answered + valid });
+            if let Some(no) = numbers.get(&id) {
+                good.insert(*no, Ticket { text, valid_until: answered + valid });
+            }
         }
     }
 
@@ -51,14 +53,15 @@
     pub(super) fn ask(
         &mut self,
         r: StepRef,
-        workers: Vec<WorkerId>,
+        workers: Vec<No>,
         now: Duration,
         out: &mut Vec<Action>,
     ) {
         let Some(j) = self.jobs.get(&r.job) else { return };
         let Some(advice) = self.queues.get(&j.job.queue).and_then(|q| q.advice) else { return };
         let before = j.due.saturating_sub(j.step(r).map_or(Duration::ZERO, |s| s.tail));
-        let workers: Vec<WorkerId> = workers.into_iter().take(MOST_NAMED).collect();
+        let named = |no: No| self.worker(no).listed.id.clone();
+        let workers: Vec<WorkerId> = workers.into_iter().take(MOST_NAMED).map(named).collect();
         let cost = advice.cost(workers.len());
         let Some(step) = self.step_mut(r) else { return };
         if step.asking_since.is_some() || now < step.ask_after || workers.is_empty() {
@@ -68,8 +71,8 @@
         out.push(Action::Ask(Ask { step: r, workers, cost, before }));
     }
 
-    pub(super) fn drop_ticket(&mut self, r: StepRef, worker: &str) {
-        let ticket = self.step_mut(r).and_then(|s| s.good.as_mut()?.get_mut(worker));
+    pub(super) fn drop_ticket(&mut self, r: StepRef, worker: No) {
+        let ticket = self.step_mut(r).and_then(|s| s.good.as_mut()?.get_mut(&worker));
         if let Some(t) = ticket {
             t.valid_until = Duration::ZERO;
         }
--- a/crates/catkin-cell/src/cell/gang.rs
+++ b/crates/catkin-cell/src/cell/gang.rs
@@ -30,8 +30,7 @@
     fn gang_runs(&self, r: StepRef) -> bool {
         let Some(step) = self.step(r) else { return true };
         (0..).zip(&step.tasks).all(|(i, t)| {
-            let w = t.at.as_ref().and_then(|at| self.workers.get(at));
-            let held = w.and_then(|w| w.held.get(&r.task(i)));
+            let held = t.at.and_then(|at| self.worker(at).held.get(&r.task(i)));
             t.done || held.is_some_and(|h| h.phase == Phase::Running)
         })
     }
--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -152,9 +152,9 @@
 
     /// Stops a task wherever it is.
     pub(super) fn stop_task(&mut self, task: Task, out: &mut Vec<Action>) {
-        let at = self.step(task.step).and_then(|s| s.tasks.get(task.index as usize)?.at.clone());
+        let at = self.step(task.step).and_then(|s| s.tasks.get(task.index as usize)?.at);
         let Some(at) = at else { return };
-        let Some(w) = self.workers.get_mut(&at) else { return };
+        let w = self.worker_mut(at);
         let born = w.listed.born;
         let Some(held) = w.held.get_mut(&task) else { return };
         match held.phase {
--- a/crates/catkin-cell/src/cell/looks.rs
+++ b/crates/catkin-cell/src/cell/looks.rs
@@ -4,8 +4,8 @@
 use crate::action::{Action, Stop};
 use crate::job::State;
 use crate::task::{StepRef, Task};
-use crate::worker::{Ended, Held, How, Phase, Running, Seen, Unacknowledged};
-use catkin_types::{JobId, WorkerId};
+use crate::worker::{Ended, Held, How, No, Phase, Running, Seen, Unacknowledged};
+use catkin_types::JobId;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -13,30 +13,29 @@
 const MOST_ENDS: usize = 500;
 
 impl Cell {
-    /// A look at `id` that was sent at `sent` got no answer.
-    pub fn not_seen(&mut self, id: &str) {
-        if let Some(w) = self.workers.get_mut(id) {
-            w.misses = w.misses.saturating_add(1);
-        }
+    /// A look at `no` that was sent at `sent` got no answer.
+    pub fn not_seen(&mut self, no: No) {
+        let w = self.worker_mut(no);
+        w.misses = w.misses.saturating_add(1);
     }
 
-    /// A look at `id` that was sent at `sent` got this answer.
+    /// A look at `no` that was sent at `sent` got this answer.
     pub fn seen(
         &mut self,
-        id: &str,
+        no: No,
         sent: Duration,
         seen: &Seen,
         now: Duration,
         out: &mut Vec<Action>,
     ) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let w = self.worker_mut(no);
         if seen.born != 0 && seen.born != w.listed.born {
             if w.listed.born > seen.born {
                 return;
             }
-            self.reborn(id, seen.born);
+            self.reborn(no, seen.born);
         }
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let w = self.worker_mut(no);
         // Answers on different connections may overtake each other.
         if w.clock.is_some_and(|(clock, _)| clock > seen.clock_ms) {
             return;
@@ -44,21 +43,23 @@
         w.clock = Some((seen.clock_ms, now));
         w.misses = 0;
         w.claimed = true;
-        self.settled.insert(id.to_owned());
+        if !self.settled.contains(&self.worker(no).listed.id) {
+            self.settled.insert(self.worker(no).listed.id.clone());
+        }
         for end in &seen.ended {
-            self.note_end(id, end, now, out);
+            self.note_end(no, end, now, out);
         }
         for r in &seen.running {
-            self.note_running(id, r, now, out);
+            self.note_running(no, r, now, out);
         }
         if seen.ended.len() < MOST_ENDS {
-            self.note_absent(id, sent, seen, out);
+            self.note_absent(no, sent, seen, out);
         }
-        self.acknowledge_at(id);
+        self.acknowledge_at(no);
     }
 
-    fn note_end(&mut self, id: &str, end: &Ended, now: Duration, out: &mut Vec<Action>) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+    fn note_end(&mut self, no: No, end: &Ended, now: Duration, out: &mut Vec<Action>) {
+        let w = self.worker_mut(no);
         if end.number <= w.noted {
             return;
         }
@@ -67,16 +68,15 @@
         if held {
             w.release(&end.task);
         }
-        let needs = self.apply_end(id, end, held, now, out);
-        if let Some(w) = self.workers.get_mut(id) {
-            w.unacknowledged.push_back(Unacknowledged { number: end.number, needs });
-        }
+        let needs = self.apply_end(no, end, held, now, out);
+        let end = Unacknowledged { number: end.number, needs };
+        self.worker_mut(no).unacknowledged.push_back(end);
     }
 
     /// Applies an end to its job. Returns the version that has to be durable before the end may be forgotten.
     fn apply_end(
         &mut self,
-        id: &str,
+        no: No,
         end: &Ended,
         held: bool,
         now: Duration,
@@ -90,7 +90,7 @@
         let step = j.step_mut(task.step)?;
         let t = step.tasks.get_mut(task.index as usize)?;
         t.run = t.run.max(end.run);
-        let here = t.at.as_deref() == Some(id) && held;
+        let here = t.at == Some(no) && held;
         if !end.checkpoint.is_empty() && end.how != How::Done {
             t.checkpoint = Some(end.checkpoint.clone());
             if kind.gang {
@@ -105,11 +105,11 @@
         }
         match end.how {
             How::Done if !kind.long_running => {
-                self.fleet.ended(&id.to_owned(), task.step.job, true, now);
+                self.judge(no, task, true, now);
                 Some(self.done(task, kind.gang, out))
             }
             How::Failed if !kind.long_running => {
-                self.fleet.ended(&id.to_owned(), task.step.job, false, now);
+                self.judge(no, task, false, now);
                 Some(self.failed(task, end.run, kind.gang, out))
             }
             How::Alone => {
@@ -120,6 +120,11 @@
         }
     }
 
+    fn judge(&mut self, no: No, task: Task, well: bool, now: Duration) {
+        let Self { workers, fleet, .. } = self;
+        fleet.ended(&workers[no.index()].listed.id, task.step.job, well, now);
+    }
+
     /// The task, or the gang that it is a member of, has done its work.
     fn done(&mut self, task: Task, gang: bool, out: &mut Vec<Action>) -> (JobId, u64) {
         let r = task.step;
@@ -181,15 +186,15 @@
         (r.job, version)
     }
 
-    fn note_running(&mut self, id: &str, r: &Running, now: Duration, out: &mut Vec<Action>) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+    fn note_running(&mut self, no: No, r: &Running, now: Duration, out: &mut Vec<Action>) {
+        let w = self.worker_mut(no);
+        let born = w.listed.born;
         let Some(held) = w.held.get_mut(&r.task) else {
-            self.adopt(id, r, now, out);
+            self.adopt(no, r, now, out);
             return;
         };
         if held.run != r.run {
-            let (worker, born) = (id.to_owned(), w.listed.born);
-            out.push(Action::Stop(Stop { worker, born, task: r.task, run: r.run }));
+            out.push(Action::Stop(Stop { worker: no, born, task: r.task, run: r.run }));
             return;
         }
         if matches!(held.phase, Phase::Starting | Phase::Unknown) {
@@ -221,7 +226,7 @@
     }
 
     /// Takes a task in that runs there and that this owner did not start, or has it stopped.
-    fn adopt(&mut self, id: &str, r: &Running, now: Duration, out: &mut Vec<Action>) {
+    fn adopt(&mut self, no: No, r: &Running, now: Duration, out: &mut Vec<Action>) {
         let wanted = self.jobs.get(&r.task.step.job).is_some_and(|j| {
             let t = j.step(r.task.step).and_then(|s| s.tasks.get(r.task.index as usize));
             j.outcome.is_none() && t.is_some_and(|t| !t.done && t.at.is_none() && r.run >= t.run)
@@ -229,7 +234,7 @@
         let room = self.jobs.get(&r.task.step.job).and_then(|j| {
             Some(j.job.steps.get(r.task.step.step as usize)?.room())
         });
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let w = self.worker_mut(no);
         let born = w.listed.born;
         let held = Held {
             run: r.run,
@@ -246,21 +251,20 @@
             if let Some(t) =
                 self.step_mut(r.task.step).and_then(|s| s.tasks.get_mut(r.task.index as usize))
             {
-                t.at = Some(id.to_owned());
+                t.at = Some(no);
                 t.run = r.run;
             }
             self.note_checkpoint(r);
             self.note_begun(r.task.step);
             self.refresh(r.task.step);
         } else {
-            let worker: WorkerId = id.to_owned();
-            out.push(Action::Stop(Stop { worker, born, task: r.task, run: r.run }));
+            out.push(Action::Stop(Stop { worker: no, born, task: r.task, run: r.run }));
         }
     }
 
     /// Settles tasks that the worker listed neither as running nor as ended.
-    fn note_absent(&mut self, id: &str, sent: Duration, seen: &Seen, out: &mut Vec<Action>) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+    fn note_absent(&mut self, no: No, sent: Duration, seen: &Seen, out: &mut Vec<Action>) {
+        let w = self.worker_mut(no);
         let listed: HashSet<(Task, u32)> = seen.running.iter().map(|r| (r.task, r.run)).collect();
         let born = w.listed.born;
         let mut gone = Vec::new();
@@ -286,17 +290,15 @@
                     } else {
                         held.phase = Phase::Stopping;
                         held.since = sent;
-                        let (worker, run) = (id.to_owned(), held.run);
-                        out.push(Action::Stop(Stop { worker, born, task: *task, run }));
+                        let run = held.run;
+                        out.push(Action::Stop(Stop { worker: no, born, task: *task, run }));
                     }
                 }
             }
         }
         for task in gone {
-            if let Some(w) = self.workers.get_mut(id) {
-                w.release(&task);
-            }
-            self.lost(task, id);
+            self.worker_mut(no).release(&task);
+            self.lost(task, no);
         }
     }
 }
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -18,7 +18,7 @@
 use crate::queue::Queue;
 use crate::step::{JobState, StepState};
 use crate::task::{StepRef, Task};
-use crate::worker::Worker;
+use crate::worker::{No, Worker};
 use catkin_place::health::{self, Fleet};
 use catkin_types::{Epoch, JobId, WorkerId};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -83,7 +83,9 @@
     epoch: Epoch,
     started: Duration,
     queues: BTreeMap<String, Queue>,
-    workers: BTreeMap<WorkerId, Worker>,
+    /// By number.
+    workers: Vec<Worker>,
+    numbers: HashMap<WorkerId, No>,
     jobs: HashMap<JobId, JobState>,
     ended: HashMap<JobId, (State, Duration)>,
     /// Steps with tasks that wait and whose turn has come.
@@ -117,6 +119,29 @@
     pub gangs_given_up: u64,
 }
 
+/// The cell as a whole at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Jobs that are not at their end.
+    pub jobs: usize,
+    /// Steps with tasks that wait.
+    pub steps_waiting: usize,
+    /// Steps with room set aside.
+    pub steps_reserved: usize,
+    /// Steps of which tasks may run unknown to this owner.
+    pub steps_unsettled: usize,
+    /// Tasks on workers.
+    pub tasks_held: usize,
+    /// Workers.
+    pub workers: usize,
+    /// Workers that may get work.
+    pub workers_usable: usize,
+    /// Processors set aside, in thousandths of a core.
+    pub cpu_used_milli: u64,
+    /// Processors of all workers that may get work.
+    pub cpu_all_milli: u64,
+}
+
 impl Cell {
     /// The owner of `epoch`, which began at `now`.
     #[must_use]
@@ -127,7 +152,8 @@
             epoch,
             started: now,
             queues: BTreeMap::new(),
-            workers: BTreeMap::new(),
+            workers: Vec::new(),
+            numbers: HashMap::new(),
             jobs: HashMap::new(),
             ended: HashMap::new(),
             open: BTreeSet::new(),
@@ -152,6 +178,30 @@
         self.counts
     }
 
+    /// The cell as a whole.
+    #[must_use]
+    pub fn summary(&self, now: Duration) -> Summary {
+        let unsettled = |r: &&StepRef| self.step(**r).is_some_and(|s| !s.unsettled.is_empty());
+        let open = self.nos().filter(|no| self.usable(*no, now)).map(|no| self.worker(no));
+        let (mut workers_usable, mut cpu_used_milli, mut cpu_all_milli) = (0, 0, 0);
+        for w in open {
+            workers_usable += 1;
+            cpu_used_milli += w.host.declared.cpu_milli;
+            cpu_all_milli += w.host.capacity.cpu_milli;
+        }
+        Summary {
+            jobs: self.jobs.len(),
+            steps_waiting: self.open.len(),
+            steps_reserved: self.reserved.len(),
+            steps_unsettled: self.open.iter().filter(unsettled).count(),
+            tasks_held: self.workers.iter().map(|w| w.held.len()).sum(),
+            workers: self.numbers.len(),
+            workers_usable,
+            cpu_used_milli,
+            cpu_all_milli,
+        }
+    }
+
     /// Takes over what the configuration says of the queues. A queue that is gone stays as it was for the jobs that it
     /// still has.
     pub fn configure(&mut self, queues: impl IntoIterator<Item = (String, Queue)>) {
@@ -168,6 +218,19 @@
         self.forget(now);
     }
 
+    fn worker(&self, no: No) -> &Worker {
+        &self.workers[no.index()]
+    }
+
+    fn worker_mut(&mut self, no: No) -> &mut Worker {
+        &mut self.workers[no.index()]
+    }
+
+    /// The numbers of all workers that were ever listed in this term.
+    pub fn nos(&self) -> impl Iterator<Item = No> + use<> {
+        (0..u32::try_from(self.workers.len()).unwrap_or(u32::MAX)).map(No)
+    }
+
     fn step(&self, r: StepRef) -> Option<&StepState> {
         self.jobs.get(&r.job)?.step(r)
     }
--- a/crates/catkin-cell/src/cell/orders.rs
+++ b/crates/catkin-cell/src/cell/orders.rs
@@ -3,16 +3,15 @@
 use super::Cell;
 use crate::action::{Action, Start, Stop};
 use crate::task::{StepRef, Task};
-use crate::worker::{Phase, Reply};
-use catkin_types::WorkerId;
+use crate::worker::{No, Phase, Reply};
 use std::time::Duration;
 
 impl Cell {
     /// The answer to an order to start.
     pub fn started(&mut self, s: &Start, reply: Reply, now: Duration, out: &mut Vec<Action>) {
-        let current = self.workers.get(&s.worker).is_some_and(|w| {
-            w.held.get(&s.task).is_some_and(|h| h.run == s.run) && w.listed.born == s.born
-        });
+        let w = self.worker(s.worker);
+        let current =
+            w.held.get(&s.task).is_some_and(|h| h.run == s.run) && w.listed.born == s.born;
         if reply == Reply::Fenced {
             out.push(Action::Deposed);
             return;
@@ -21,38 +20,34 @@
             return;
         }
         match reply {
-            Reply::Done => self.runs(&s.worker, s.task, now),
+            Reply::Done => self.runs(s.worker, s.task, now),
             Reply::Unknown => {
-                self.note_unknown(&s.worker, s.task, now);
-                out.push(Action::Look(s.worker.clone()));
+                self.note_unknown(s.worker, s.task, now);
+                out.push(Action::Look(s.worker));
             }
             Reply::OtherLife => {
-                self.reborn(&s.worker, 0);
-                out.push(Action::Look(s.worker.clone()));
+                self.reborn(s.worker, 0);
+                out.push(Action::Look(s.worker));
             }
             Reply::Late => {
-                self.declined(&s.worker, s.task, out);
-                out.push(Action::Look(s.worker.clone()));
+                self.declined(s.worker, s.task, out);
+                out.push(Action::Look(s.worker));
             }
             Reply::Ticket => {
-                self.drop_ticket(s.task.step, &s.worker);
-                self.declined(&s.worker, s.task, out);
+                self.drop_ticket(s.task.step, s.worker);
+                self.declined(s.worker, s.task, out);
             }
             Reply::Full | Reply::NotRun => {
                 let pause = self.opt.pause;
-                if let Some(w) = self.workers.get_mut(&s.worker) {
-                    w.closed_until = now + pause;
-                }
-                self.declined(&s.worker, s.task, out);
+                self.worker_mut(s.worker).closed_until = now + pause;
+                self.declined(s.worker, s.task, out);
             }
-            Reply::Old | Reply::Fenced => self.declined(&s.worker, s.task, out),
+            Reply::Old | Reply::Fenced => self.declined(s.worker, s.task, out),
         }
     }
 
-    fn runs(&mut self, worker: &str, task: Task, now: Duration) {
-        let Some(held) = self.workers.get_mut(worker).and_then(|w| w.held.get_mut(&task)) else {
-            return;
-        };
+    fn runs(&mut self, worker: No, task: Task, now: Duration) {
+        let Some(held) = self.worker_mut(worker).held.get_mut(&task) else { return };
         if matches!(held.phase, Phase::Starting | Phase::Unknown) {
             held.phase = Phase::Running;
             held.since = now;
@@ -60,8 +55,8 @@
         self.note_begun(task.step);
     }
 
-    fn note_unknown(&mut self, worker: &str, task: Task, now: Duration) {
-        let Some(w) = self.workers.get_mut(worker) else { return };
+    fn note_unknown(&mut self, worker: No, task: Task, now: Duration) {
+        let w = self.worker_mut(worker);
         if let Some(held) = w.held.get_mut(&task).filter(|h| h.phase == Phase::Starting) {
             held.phase = Phase::Unknown;
             held.since = now;
@@ -69,11 +64,9 @@
     }
 
     /// The worker did not start the task, and will not.
-    fn declined(&mut self, worker: &str, task: Task, out: &mut Vec<Action>) {
+    fn declined(&mut self, worker: No, task: Task, out: &mut Vec<Action>) {
         self.counts.declined += 1;
-        if let Some(w) = self.workers.get_mut(worker) {
-            w.release(&task);
-        }
+        self.worker_mut(worker).release(&task);
         self.unplace(task);
         if self.is_gang(task.step) {
             self.give_gang_up(task.step, out);
@@ -85,20 +78,19 @@
         match reply {
             Reply::Fenced => out.push(Action::Deposed),
             Reply::OtherLife => {
-                if self.workers.get(&s.worker).is_some_and(|w| w.listed.born == s.born) {
-                    self.reborn(&s.worker, 0);
+                if self.worker(s.worker).listed.born == s.born {
+                    self.reborn(s.worker, 0);
                 }
-                out.push(Action::Look(s.worker.clone()));
+                out.push(Action::Look(s.worker));
             }
             Reply::Unknown | Reply::NotRun => {}
             _ => {
-                let w = self.workers.get_mut(&s.worker);
-                if let Some(held) = w.and_then(|w| w.held.get_mut(&s.task)) {
+                if let Some(held) = self.worker_mut(s.worker).held.get_mut(&s.task) {
                     if held.run == s.run && held.phase == Phase::Stopping {
                         held.stop_answered.get_or_insert(now);
                     }
                 }
-                out.push(Action::Look(s.worker.clone()));
+                out.push(Action::Look(s.worker));
             }
         }
     }
@@ -106,7 +98,7 @@
     /// Sends orders to stop again that got no answer.
     pub(super) fn stop_again(&mut self, now: Duration, out: &mut Vec<Action>) {
         let again = self.opt.stop_again;
-        for (id, w) in &mut self.workers {
+        for (no, w) in (0..).map(No).zip(&mut self.workers) {
             for (task, held) in &mut w.held {
                 if held.phase != Phase::Stopping || held.stop_answered.is_some() {
                     continue;
@@ -115,8 +107,8 @@
                     held.since = now;
                 } else if now.saturating_sub(held.since) >= again {
                     held.since = now;
-                    let (worker, born): (WorkerId, _) = (id.clone(), w.listed.born);
-                    out.push(Action::Stop(Stop { worker, born, task: *task, run: held.run }));
+                    let born = w.listed.born;
+                    out.push(Action::Stop(Stop { worker: no, born, task: *task, run: held.run }));
                 }
             }
         }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -4,31 +4,44 @@
 use crate::action::{Action, Start};
 use crate::job::Step;
 use crate::task::{StepRef, Task};
-use crate::worker::{Held, Phase, millis};
+use crate::worker::{Held, No, Phase, Set, Worker, millis};
 use catkin_place::score::balanced_fit;
 use catkin_types::{Resources, WorkerId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Where the tasks of a step would go.
-type Plan = Vec<(u32, WorkerId)>;
+type Plan = Vec<(u32, No)>;
 
 /// A worker with room for a step.
 struct Candidate {
-    id: WorkerId,
-    rack: String,
+    no: No,
     free: Resources,
     /// How many more tasks of the step it may have.
     most: u32,
 }
 
+/// The workers that may get work in one pass, by service and label.
+#[derive(Default)]
+pub(super) struct Open {
+    sets: HashMap<(String, Option<String>), Arc<Set>>,
+}
+
 impl Cell {
     /// Gives room to the steps that wait, in their order, and starts what can start.
     pub(super) fn schedule(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let mut order: Vec<_> = self.open.iter().map(|r| (self.rank(*r, now), *r)).collect();
-        order.sort();
+        let mut order: Vec<_> = self
+            .open
+            .iter()
+            .filter(|r| self.step(**r).is_some_and(|s| s.asking_since.is_none()))
+            .map(|r| (self.rank(*r, now), *r))
+            .collect();
+        order.sort_unstable();
+        let mut open = Open::default();
         for (_, r) in order {
-            self.consider(r, now, out);
+            self.consider(r, &mut open, now, out);
         }
         let reserved: Vec<StepRef> = self.reserved.iter().copied().collect();
         for r in reserved {
@@ -36,30 +49,41 @@
         }
     }
 
-    fn consider(&mut self, r: StepRef, now: Duration, out: &mut Vec<Action>) {
-        let Some(j) = self.jobs.get(&r.job) else { return };
-        let Some(kind) = j.job.steps.get(r.step as usize).cloned() else { return };
+    fn consider(&mut self, r: StepRef, open: &mut Open, now: Duration, out: &mut Vec<Action>) {
         if !self.settle(r, now) {
             return;
         }
-        let Some(step) = self.step(r) else { return };
+        let Some(j) = self.jobs.get(&r.job) else { return };
+        let Some(kind) = j.job.steps.get(r.step as usize) else { return };
+        let Some(step) = j.step(r) else { return };
         if kind.gang && step.any_held() {
             return;
         }
-        let Some(eligible) = self.eligible(r, &kind, now) else { return };
+        let eligible = self.eligible(r, kind, open, now);
         let advised = self.queue_advice(r);
-        if advised && !self.advice_known(r, &eligible, now, out) {
+        if advised && !step.asked.covers(&eligible) {
+            let fresh: Vec<No> = eligible.iter().filter(|no| !step.asked.contains(*no)).collect();
+            let known = step.good.is_some();
+            self.ask(r, fresh, now, out);
+            if !known {
+                return;
+            }
+        }
+        let Some(j) = self.jobs.get(&r.job) else { return };
+        let Some(kind) = j.job.steps.get(r.step as usize) else { return };
+        let Some(step) = j.step(r) else { return };
+        let candidates = self.candidates(r, kind, &eligible, advised);
+        if candidates.is_empty() {
             return;
         }
-        let candidates = self.candidates(r, &kind, &eligible, advised);
-        let Some(step) = self.step(r) else { return };
         let waiting: Vec<u32> = step.waiting().collect();
         let plan = if kind.gang {
-            plan_gang(&kind, &waiting, candidates)
+            self.plan_gang(kind, &waiting, candidates)
         } else {
-            self.plan_tasks(&kind, &waiting, candidates)
+            self.plan_tasks(kind, &waiting, candidates)
         };
         if !plan.is_empty() {
+            let kind = kind.clone();
             self.reserve(r, &kind, plan, now);
         }
     }
@@ -68,13 +92,10 @@
     fn settle(&mut self, r: StepRef, now: Duration) -> bool {
         let over = self.opt.autonomy + self.opt.lease + self.opt.lease / 10;
         let over = now.saturating_sub(self.started) > over;
-        let settled = std::mem::take(&mut self.settled);
-        let free = self.step_mut(r).is_some_and(|s| {
-            s.unsettled.retain(|w| !over && !settled.contains(w));
-            s.unsettled.is_empty()
-        });
-        self.settled = settled;
-        free
+        let Self { jobs, settled, .. } = self;
+        let Some(step) = jobs.get_mut(&r.job).and_then(|j| j.step_mut(r)) else { return false };
+        step.unsettled.retain(|w| !over && !settled.contains(w));
+        step.unsettled.is_empty()
     }
 
     fn queue_advice(&self, r: StepRef) -> bool {
@@ -83,100 +104,132 @@
     }
 
     /// The workers of the step's service that have the label and may get work.
-    fn eligible(&self, r: StepRef, kind: &Step, now: Duration) -> Option<Vec<WorkerId>> {
-        let j = self.jobs.get(&r.job)?;
+    fn eligible(&self, r: StepRef, kind: &Step, open: &mut Open, now: Duration) -> Arc<Set> {
+        let Some(j) = self.jobs.get(&r.job) else { return Arc::default() };
         let service = self.queues.get(&j.job.queue).map_or(&j.job.service, |q| &q.service);
-        let fits = |w: &crate::worker::Worker| {
+        let key = (service.clone(), kind.label.clone());
+        if let Some(set) = open.sets.get(&key) {
+            return Arc::clone(set);
+        }
+        let fits = |w: &Worker| {
             w.listed.service == *service
                 && kind.label.as_ref().is_none_or(|l| w.listed.labels.contains(l))
-                && kind.room().fits(&w.host.capacity)
         };
-        let usable = |id: &&WorkerId| self.usable(id, now);
-        let all = self.workers.iter().filter(|(_, w)| fits(w)).map(|(id, _)| id);
-        Some(all.filter(usable).cloned().collect())
-    }
-
-    /// Whether it is known which of the workers may run the step. Asks about those of which it is not.
-    fn advice_known(
-        &mut self,
-        r: StepRef,
-        eligible: &[WorkerId],
-        now: Duration,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let Some(step) = self.step(r) else { return false };
-        let known = step.good.is_some();
-        let fresh: Vec<WorkerId> =
-            eligible.iter().filter(|w| !step.asked.contains(w)).cloned().collect();
-        if !fresh.is_empty() {
-            self.ask(r, fresh.clone(), now, out);
-            self.intend(r, 1, &fresh);
-        }
-        known
+        let mut set = Set::default();
+        self.nos()
+            .filter(|no| fits(self.worker(*no)) && self.usable(*no, now))
+            .for_each(|no| set.insert(no));
+        let set = Arc::new(set);
+        open.sets.insert(key, Arc::clone(&set));
+        set
     }
 
     fn candidates(
         &self,
         r: StepRef,
         kind: &Step,
-        eligible: &[WorkerId],
+        eligible: &Set,
         advised: bool,
     ) -> Vec<Candidate> {
         let Some(step) = self.step(r) else { return Vec::new() };
-        let mut here: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut here: BTreeMap<No, u32> = BTreeMap::new();
         if kind.max_per_worker > 0 {
-            for at in step.tasks.iter().filter_map(|t| t.at.as_deref()) {
+            for at in step.tasks.iter().filter_map(|t| t.at) {
                 *here.entry(at).or_default() += 1;
             }
         }
-        let good = |id: &WorkerId| {
-            !advised || step.good.as_ref().is_some_and(|good| good.contains_key(id))
-        };
-        let candidate = |id: &WorkerId| {
-            let w = self.workers.get(id)?;
-            let cap = if kind.max_per_worker > 0 { kind.max_per_worker } else { u32::MAX };
-            let most = cap.saturating_sub(here.get(id.as_str()).copied().unwrap_or(0));
-            let free = w.free();
-            (most > 0 && kind.room().fits(&free)).then(|| Candidate {
-                id: id.clone(),
-                rack: w.listed.rack.clone(),
-                free,
-                most,
-            })
+        let cap = if kind.max_per_worker > 0 { kind.max_per_worker } else { u32::MAX };
+        let room = kind.room();
+        let candidate = |no: No| {
+            let most = cap.saturating_sub(here.get(&no).copied().unwrap_or(0));
+            let free = self.worker(no).free();
+            (most > 0 && room.fits(&free)).then_some(Candidate { no, free, most })
         };
-        eligible.iter().filter(|id| good(id)).filter_map(candidate).collect()
+        match (&step.good, advised) {
+            (Some(good), true) => {
+                let mut good: Vec<No> =
+                    good.keys().copied().filter(|no| eligible.contains(*no)).collect();
+                good.sort_unstable();
+                good.into_iter().filter_map(candidate).collect()
+            }
+            (None, true) => Vec::new(),
+            (_, false) => eligible.iter().filter_map(candidate).collect(),
+        }
+    }
+
+    fn is_far(&self, kind: &Step, no: No) -> bool {
+        kind.near.as_ref().is_some_and(|rack| *rack != self.worker(no).listed.rack)
     }
 
     fn plan_tasks(&self, kind: &Step, waiting: &[u32], mut candidates: Vec<Candidate>) -> Plan {
         let room = kind.room();
+        let score = |c: &Candidate| balanced_fit(&self.worker(c.no).host, &c.free, &room);
+        let mut scores: Vec<(bool, f64)> =
+            candidates.iter().map(|c| (self.is_far(kind, c.no), score(c))).collect();
         let mut plan = Plan::new();
         for i in waiting {
-            let score = |c: &Candidate| {
-                let host = self.workers.get(&c.id).map(|w| balanced_fit(&w.host, &c.free, &room));
-                let far = kind.near.as_ref().is_some_and(|rack| *rack != c.rack);
-                (far, host.unwrap_or(f64::MAX))
-            };
-            let open = candidates.iter_mut().filter(|c| c.most > 0 && room.fits(&c.free));
+            let open = (0..candidates.len())
+                .filter(|n| candidates[*n].most > 0 && room.fits(&candidates[*n].free));
             let best = open.min_by(|a, b| {
-                let ((far_a, a), (far_b, b)) = (score(a), score(b));
+                let ((far_a, a), (far_b, b)) = (scores[*a], scores[*b]);
                 far_a.cmp(&far_b).then(a.total_cmp(&b))
             });
             let Some(best) = best else { break };
-            best.free = best.free.saturating_sub(&room);
-            best.most -= 1;
-            plan.push((*i, best.id.clone()));
+            let c = &mut candidates[best];
+            c.free = c.free.saturating_sub(&room);
+            c.most -= 1;
+            scores[best].1 = score(&candidates[best]);
+            plan.push((*i, candidates[best].no));
         }
         plan
     }
 
+    /// A plan for all members, or none.
+    fn plan_gang(&self, kind: &Step, waiting: &[u32], candidates: Vec<Candidate>) -> Plan {
+        if kind.same_rack {
+            let mut racks: BTreeMap<&str, Vec<&Candidate>> = BTreeMap::new();
+            for c in &candidates {
+                racks.entry(&self.worker(c.no).listed.rack).or_default().push(c);
+            }
+            let plans = racks.into_values().map(|c| self.spread(kind, waiting, c));
+            if let Some(plan) = plans.into_iter().find(|p| !p.is_empty()) {
+                return plan;
+            }
+        }
+        self.spread(kind, waiting, candidates.iter().collect())
+    }
+
+    /// Puts all tasks on as few workers as possible, or none.
+    fn spread(&self, kind: &Step, waiting: &[u32], candidates: Vec<&Candidate>) -> Plan {
+        let room = kind.room();
+        let many = |c: &Candidate| times(&c.free, &room).min(u64::from(c.most));
+        let mut order: Vec<(bool, Reverse<u64>, No)> = candidates
+            .into_iter()
+            .map(|c| (self.is_far(kind, c.no), Reverse(many(c)), c.no))
+            .collect();
+        order.sort_unstable();
+        let total: u64 = order.iter().map(|(_, n, _)| n.0).sum();
+        if total < waiting.len() as u64 {
+            return Plan::new();
+        }
+        let places = order.iter().flat_map(|(_, n, no)| {
+            std::iter::repeat_n(*no, usize::try_from(n.0).unwrap_or(usize::MAX))
+        });
+        waiting.iter().copied().zip(places).collect()
+    }
+
     /// Sets the room of a plan aside.
     fn reserve(&mut self, r: StepRef, kind: &Step, plan: Plan, now: Duration) {
         let expected = Duration::from_millis(kind.estimate_ms);
-        for (i, id) in plan {
+        if let Some(step) = self.step_mut(r).filter(|s| !s.any_held()) {
+            // Nothing of the step is anywhere: the workers of earlier starts no longer matter.
+            step.on.clear();
+        }
+        for (i, no) in plan {
             let task = r.task(i);
             let Some(step) = self.step_mut(r) else { return };
             let t = &mut step.tasks[i as usize];
-            t.at = Some(id.clone());
+            t.at = Some(no);
             let run = t.run + 1;
             step.reserved_at = now;
             let held = Held {
@@ -188,9 +241,7 @@
                 stop_answered: None,
                 expected_end: now + expected,
             };
-            if let Some(w) = self.workers.get_mut(&id) {
-                w.hold(task, held);
-            }
+            self.worker_mut(no).hold(task, held);
         }
         if kind.gang {
             self.align_runs(r);
@@ -203,22 +254,24 @@
     fn align_runs(&mut self, r: StepRef) {
         let Some(step) = self.step_mut(r) else { return };
         let run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
-        let held: Vec<(WorkerId, Task)> = (0..)
-            .zip(&step.tasks)
-            .filter_map(|(i, t)| Some((t.at.clone()?, r.task(i))))
-            .collect();
-        for (id, task) in held {
-            if let Some(h) = self.workers.get_mut(&id).and_then(|w| w.held.get_mut(&task)) {
+        let held: Vec<(No, Task)> =
+            (0..).zip(&step.tasks).filter_map(|(i, t)| Some((t.at?, r.task(i)))).collect();
+        for (no, task) in held {
+            if let Some(h) = self.worker_mut(no).held.get_mut(&task) {
                 h.run = run;
             }
         }
     }
 
     /// Makes it durable that the step may run under `run` on `workers`. Returns whether it already is.
-    fn intend(&mut self, r: StepRef, run: u32, workers: &[WorkerId]) -> bool {
+    fn intend(&mut self, r: StepRef, run: u32, workers: &[No]) -> bool {
         let Some(step) = self.step(r) else { return false };
-        let missing: Vec<WorkerId> =
-            workers.iter().filter(|w| !step.on.contains(w)).cloned().collect();
+        let missing: Vec<WorkerId> = workers
+            .iter()
+            .map(|no| &self.worker(*no).listed.id)
+            .filter(|id| !step.on.contains(id))
+            .cloned()
+            .collect();
         if run > step.run || !missing.is_empty() {
             let version = self.mark(r.job);
             if let Some(step) = self.step_mut(r) {
@@ -238,8 +291,9 @@
             return;
         }
         let run = reserved.iter().map(|(_, _, run)| *run).max().unwrap_or(1);
-        let workers: BTreeSet<&WorkerId> = reserved.iter().map(|(_, id, _)| id).collect();
-        let workers: Vec<WorkerId> = workers.into_iter().cloned().collect();
+        let mut workers: Vec<No> = reserved.iter().map(|(_, no, _)| *no).collect();
+        workers.sort_unstable();
+        workers.dedup();
         let durable = self.intend(r, run, &workers);
         let tickets = !self.queue_advice(r) || self.tickets_hold(r, &workers, now, out);
         if !(durable && tickets) {
@@ -252,17 +306,17 @@
             }
             self.assembling.insert(r);
         }
-        for (task, id, run) in reserved {
-            self.start(task, &id, run, now, out);
+        for (task, no, run) in reserved {
+            self.start(task, no, run, now, out);
         }
     }
 
-    fn reserved_tasks(&self, r: StepRef) -> Vec<(Task, WorkerId, u32)> {
+    fn reserved_tasks(&self, r: StepRef) -> Vec<(Task, No, u32)> {
         let Some(step) = self.step(r) else { return Vec::new() };
         let held = (0..).zip(&step.tasks).filter_map(|(i, t)| {
-            let id = t.at.as_ref()?;
-            let held = self.workers.get(id)?.held.get(&r.task(i))?;
-            (held.phase == Phase::Reserved).then(|| (r.task(i), id.clone(), held.run))
+            let no = t.at?;
+            let held = self.worker(no).held.get(&r.task(i))?;
+            (held.phase == Phase::Reserved).then(|| (r.task(i), no, held.run))
         });
         held.collect()
     }
@@ -271,13 +325,13 @@
     fn tickets_hold(
         &mut self,
         r: StepRef,
-        workers: &[WorkerId],
+        workers: &[No],
         now: Duration,
         out: &mut Vec<Action>,
     ) -> bool {
         let margin = self.opt.ticket_margin;
         let Some(good) = self.step(r).and_then(|s| s.good.as_ref()) else { return false };
-        let holds = |id: &WorkerId| good.get(id).is_some_and(|t| t.valid_until > now + margin);
+        let holds = |no: &No| good.get(no).is_some_and(|t| t.valid_until > now + margin);
         let all = workers.iter().all(holds);
         if !all {
             self.ask(r, workers.to_vec(), now, out);
@@ -285,19 +339,19 @@
         all
     }
 
-    fn start(&mut self, task: Task, id: &str, run: u32, now: Duration, out: &mut Vec<Action>) {
+    fn start(&mut self, task: Task, no: No, run: u32, now: Duration, out: &mut Vec<Action>) {
         let window = millis(self.opt.start_window);
         let gang = self.is_gang(task.step);
         let Some(j) = self.jobs.get_mut(&task.step.job) else { return };
-        let spec = j.job.spec.clone();
+        let spec = Arc::clone(&j.job.spec);
         let Some(step) = j.step_mut(task.step) else { return };
         step.begun = true;
-        let ticket = step.good.as_ref().and_then(|g| g.get(id)).map(|t| t.text.clone());
+        let ticket = step.good.as_ref().and_then(|g| g.get(&no)).map(|t| t.text.clone());
         let common = step.checkpoint.clone();
         let t = &mut step.tasks[task.index as usize];
         t.run = run;
         let checkpoint = if gang { common } else { t.checkpoint.clone() };
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let w = self.worker_mut(no);
         let until_ms = w.clock_about(now).unwrap_or(0) + window;
         w.lease_to_ms = w.lease_to_ms.max(until_ms);
         let born = w.listed.born;
@@ -306,7 +360,7 @@
         held.since = now;
         held.until_ms = until_ms;
         self.counts.starts += 1;
-        let worker = id.to_owned();
+        let worker = no;
         out.push(Action::Start(Start { worker, born, task, run, spec, until_ms, ticket, checkpoint }));
     }
 
@@ -318,51 +372,19 @@
             let patience = self.opt.reservation * if asking { 3 } else { 1 };
             let old = self.step(r).is_none_or(|s| now.saturating_sub(s.reserved_at) > patience);
             let workers = self.reserved_tasks(r);
-            let unusable = workers.iter().any(|(_, id, _)| !self.usable(id, now));
+            let unusable = workers.iter().any(|(_, no, _)| !self.usable(*no, now));
             if !old && !unusable {
                 continue;
             }
             self.reserved.remove(&r);
-            for (task, id, _) in workers {
-                if let Some(w) = self.workers.get_mut(&id) {
-                    w.release(&task);
-                }
+            for (task, no, _) in workers {
+                self.worker_mut(no).release(&task);
                 self.unplace(task);
             }
         }
     }
 }
 
-/// A plan for all members, or none.
-fn plan_gang(kind: &Step, waiting: &[u32], candidates: Vec<Candidate>) -> Plan {
-    if kind.same_rack {
-        let mut racks: BTreeMap<&str, Vec<&Candidate>> = BTreeMap::new();
-        for c in &candidates {
-            racks.entry(&c.rack).or_default().push(c);
-        }
-        let plans = racks.into_values().map(|c| spread(kind, waiting, c));
-        if let Some(plan) = plans.into_iter().find(|p| !p.is_empty()) {
-            return plan;
-        }
-    }
-    spread(kind, waiting, candidates.iter().collect())
-}
-
-/// Puts all tasks on as few workers as possible, or none.
-fn spread(kind: &Step, waiting: &[u32], mut candidates: Vec<&Candidate>) -> Plan {
-    let room = kind.room();
-    let many = |c: &Candidate| times(&c.free, &room).min(u64::from(c.most));
-    candidates.sort_by_key(|c| (kind.near.as_ref().is_some_and(|r| *r != c.rack), std::cmp::Reverse(many(c))));
-    let total: u64 = candidates.iter().map(|c| many(c)).sum();
-    if total < waiting.len() as u64 {
-        return Plan::new();
-    }
-    let places = candidates.iter().flat_map(|c| {
-        std::iter::repeat_n(&c.id, usize::try_from(many(c)).unwrap_or(usize::MAX))
-    });
-    waiting.iter().copied().zip(places.cloned()).collect()
-}
-
 /// How many times `size` fits into `room`.
 fn times(room: &Resources, size: &Resources) -> u64 {
     let pairs = room.as_array().into_iter().zip(size.as_array());
--- a/crates/catkin-cell/src/cell/save.rs
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -4,7 +4,7 @@
 use crate::action::Write;
 use crate::job::State;
 use crate::step::JobState;
-use crate::worker::Worker;
+use crate::worker::{No, Worker};
 use catkin_types::JobId;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -80,15 +80,13 @@
     /// Lets the workers forget the ends that are durable.
     fn acknowledge(&mut self) {
         let Self { workers, jobs, .. } = self;
-        workers.values_mut().for_each(|w| acknowledge(w, jobs));
+        workers.iter_mut().for_each(|w| acknowledge(w, jobs));
     }
 
     /// Lets one worker forget the ends that are durable.
-    pub(super) fn acknowledge_at(&mut self, worker: &str) {
+    pub(super) fn acknowledge_at(&mut self, worker: No) {
         let Self { workers, jobs, .. } = self;
-        if let Some(w) = workers.get_mut(worker) {
-            acknowledge(w, jobs);
-        }
+        acknowledge(&mut workers[worker.index()], jobs);
     }
 }
 
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -2,7 +2,7 @@
 
 use super::Cell;
 use crate::task::Task;
-use crate::worker::{Listed, millis};
+use crate::worker::{Listed, No, Worker, millis};
 use catkin_place::health::Standing;
 use catkin_types::{Incarnation, WorkerId};
 use std::time::Duration;
@@ -10,16 +10,16 @@
 /// How far the clock of a silent worker has to be past its lease before its tasks are taken to be gone, in
 /// milliseconds.
 const LAPSE_MARGIN_MS: u64 = 100;
-/// How long a worker that is missing from the list and holds nothing is still remembered.
+/// How long a worker that is missing from the list and does not answer is still looked at.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
 /// How a worker is to be looked at.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerView {
+    /// Its name.
+    pub id: WorkerId,
     /// Its address.
     pub addr: String,
-    /// Its life, 0 if it is not known.
-    pub born: Incarnation,
     /// The lease to ask for, on its clock in milliseconds; nothing before its clock is known.
     pub lease_to_ms: Option<u64>,
     /// The newest end that it may forget.
@@ -38,114 +38,124 @@
             return;
         }
         present.sort();
-        for (id, w) in &mut self.workers {
-            if present.binary_search(id).is_err() {
+        for w in &mut self.workers {
+            if present.binary_search(&w.listed.id).is_err() {
                 w.missing_since.get_or_insert(now);
             }
         }
-        self.workers.retain(|_, w| {
-            let gone = w.missing_since.is_some_and(|at| now.saturating_sub(at) > FORGET_AFTER);
-            !(gone && w.held.is_empty())
-        });
     }
 
     fn list_one(&mut self, l: Listed) {
-        let id = l.id.clone();
-        let w = self.workers.entry(id.clone()).or_default();
-        let other_life = w.listed.born != 0 && l.born > w.listed.born;
+        let no = match self.numbers.get(&l.id) {
+            Some(no) => *no,
+            None => {
+                let no = No(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
+                self.numbers.insert(l.id.clone(), no);
+                self.workers.push(Worker::default());
+                no
+            }
+        };
+        let w = self.worker_mut(no);
         let known = w.listed.born;
-        w.list(Listed { born: known, ..l.clone() });
+        let born = if known == 0 { l.born } else { known };
+        let other_life = known != 0 && l.born > known;
+        let newest = l.born;
+        w.list(Listed { born, ..l });
         if other_life {
-            self.reborn(&id, l.born);
-        } else if known == 0 {
-            if let Some(w) = self.workers.get_mut(&id) {
-                w.listed.born = l.born;
-            }
+            self.reborn(no, newest);
         }
     }
 
     /// The worker is gone from the list.
     pub fn unlist(&mut self, id: &str, now: Duration) {
-        if let Some(w) = self.workers.get_mut(id) {
-            w.missing_since.get_or_insert(now);
+        if let Some(no) = self.numbers.get(id).copied() {
+            self.worker_mut(no).missing_since.get_or_insert(now);
         }
     }
 
-    /// The names of all workers.
+    /// The name and the address of a worker.
     #[must_use]
-    pub fn worker_ids(&self) -> Vec<WorkerId> {
-        self.workers.keys().cloned().collect()
+    pub fn contact(&self, no: No) -> (WorkerId, String) {
+        let l = &self.worker(no).listed;
+        (l.id.clone(), l.addr.clone())
     }
 
-    /// The address of a worker.
+    /// Whether ends of the worker wait until they are durable, so that a look would not wait for another one.
     #[must_use]
-    pub fn addr(&self, id: &str) -> Option<String> {
-        self.workers.get(id).map(|w| w.listed.addr.clone())
+    pub fn ends_pending(&self, no: No) -> bool {
+        !self.worker(no).unacknowledged.is_empty()
     }
 
-    /// Whether ends of the worker wait until they are durable, so that a look would not wait for another one.
+    /// Whether the worker answered the last call.
     #[must_use]
-    pub fn ends_pending(&self, id: &str) -> bool {
-        self.workers.get(id).is_some_and(|w| !w.unacknowledged.is_empty())
+    pub fn answers(&self, no: No) -> bool {
+        self.worker(no).misses == 0
     }
 
-    /// Whether the worker answered the last call.
+    /// Whether there is no reason to look at the worker any more.
     #[must_use]
-    pub fn answers(&self, id: &str) -> bool {
-        self.workers.get(id).is_some_and(|w| w.misses == 0)
+    pub fn forgotten(&self, no: No, now: Duration) -> bool {
+        let w = self.worker(no);
+        let gone = w.missing_since.is_some_and(|at| now.saturating_sub(at) > FORGET_AFTER);
+        gone && w.held.is_empty() && w.misses > 0
     }
 
     /// The worker answered that it is another life than the one that is known.
-    pub fn other_life(&mut self, id: &str) {
-        self.reborn(id, 0);
+    pub fn other_life(&mut self, no: No) {
+        self.reborn(no, 0);
     }
 
     /// How to look at a worker at `now`. Notes the lease that is asked for.
-    pub fn view(&mut self, id: &str, now: Duration) -> Option<WorkerView> {
+    pub fn view(&mut self, no: No, now: Duration) -> WorkerView {
         let lease = millis(self.opt.lease);
-        let w = self.workers.get_mut(id)?;
+        let w = self.worker_mut(no);
         let lease_to_ms = w.clock_about(now).map(|clock| clock + lease);
         w.lease_to_ms = w.lease_to_ms.max(lease_to_ms.unwrap_or(0));
-        Some(WorkerView {
+        WorkerView {
+            id: w.listed.id.clone(),
             addr: w.listed.addr.clone(),
-            born: w.listed.born,
             lease_to_ms,
             acknowledged: w.acknowledged,
-        })
+        }
     }
 
     /// Whether the worker may get work now.
-    pub(super) fn usable(&self, id: &str, now: Duration) -> bool {
-        let Some(w) = self.workers.get(id) else { return false };
+    pub(super) fn usable(&self, no: No, now: Duration) -> bool {
+        let w = self.worker(no);
         let listed = w.missing_since.is_none_or(|at| now.saturating_sub(at) < self.opt.missing);
-        let well = self.fleet.standing(&w.listed.id, now) != Standing::Quarantined;
-        w.claimed && listed && !w.listed.draining && w.misses == 0 && now >= w.closed_until && well
+        w.claimed
+            && listed
+            && !w.listed.draining
+            && w.misses == 0
+            && now >= w.closed_until
+            && self.fleet.standing(&w.listed.id, now) != Standing::Quarantined
     }
 
     /// The worker has another life: what ran in the last one is gone.
-    pub(super) fn reborn(&mut self, id: &str, born: Incarnation) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+    pub(super) fn reborn(&mut self, no: No, born: Incarnation) {
+        let w = self.worker_mut(no);
         let lost = w.reborn(born);
-        self.settled.insert(id.to_owned());
+        let id = w.listed.id.clone();
+        self.settled.insert(id);
         for (task, _) in lost {
-            self.lost(task, id);
+            self.lost(task, no);
         }
         for j in self.jobs.values_mut() {
             for s in &mut j.steps {
                 if let Some(good) = &mut s.good {
-                    good.remove(id);
-                    s.asked.retain(|w| w != id);
+                    good.remove(&no);
+                    s.asked.remove(no);
                 }
             }
         }
     }
 
     /// The task is gone from the worker without an end of its own.
-    pub(super) fn lost(&mut self, task: Task, worker: &str) {
+    pub(super) fn lost(&mut self, task: Task, worker: No) {
         let here = self
             .step(task.step)
             .and_then(|s| s.tasks.get(task.index as usize))
-            .is_some_and(|t| t.at.as_deref() == Some(worker));
+            .is_some_and(|t| t.at == Some(worker));
         if here {
             self.counts.lost += 1;
             self.unplace(task);
@@ -154,25 +164,22 @@
 
     /// Takes the tasks of silent workers to be gone once their leases have run out.
     pub(super) fn expire(&mut self, now: Duration) {
-        let lapsed: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.claimed && w.misses > 0)
-            .filter(|(_, w)| {
-                let clock = w.clock_at_least(now);
-                clock.is_some_and(|c| c > w.lease_to_ms + LAPSE_MARGIN_MS)
-            })
-            .map(|(id, _)| id.clone())
+        let over = |w: &Worker| {
+            let clock = w.clock_at_least(now);
+            clock.is_some_and(|c| c > w.lease_to_ms + LAPSE_MARGIN_MS)
+        };
+        let silent = |w: &Worker| w.claimed && w.misses > 0;
+        let lapsed: Vec<No> = self
+            .nos()
+            .filter(|no| silent(self.worker(*no)) && over(self.worker(*no)))
             .collect();
-        for id in lapsed {
-            let Some(w) = self.workers.get_mut(&id) else { continue };
+        for no in lapsed {
+            let w = self.worker_mut(no);
             w.claimed = false;
             let tasks: Vec<Task> = w.held.keys().copied().collect();
             for task in tasks {
-                if let Some(w) = self.workers.get_mut(&id) {
-                    w.release(&task);
-                }
-                self.lost(task, &id);
+                self.worker_mut(no).release(&task);
+                self.lost(task, no);
             }
         }
     }
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -3,6 +3,7 @@
 use crate::job::{Job, State};
 use crate::progress::{Progress, StepProgress};
 use crate::task::StepRef;
+use crate::worker::{No, Set};
 use catkin_types::WorkerId;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -18,7 +19,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TaskState {
     /// The worker that holds it.
-    pub at: Option<WorkerId>,
+    pub at: Option<No>,
     /// The highest run that was ordered.
     pub run: u32,
     pub failed: u32,
@@ -39,9 +40,9 @@
     pub tasks: Vec<TaskState>,
     pub undone: usize,
     /// The workers that may run it and their tickets, once the adviser has said.
-    pub good: Option<HashMap<WorkerId, Ticket>>,
+    pub good: Option<HashMap<No, Ticket>>,
     /// The workers that the adviser was asked about.
-    pub asked: Vec<WorkerId>,
+    pub asked: Set,
     /// Since when the adviser has been asked.
     pub asking_since: Option<Duration>,
     /// When the adviser may be asked again.
@@ -62,8 +63,6 @@
     pub reserved_at: Duration,
     /// When the starts of the gang were sent.
     pub launched_at: Option<Duration>,
-    /// The run of the gang that was found complete.
-    pub assembled_run: u32,
     /// The longest chain from the start of this step to the end of the job, as estimated.
     pub tail: Duration,
     /// Whether a task was ever started.
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -148,6 +148,56 @@
     pub needs: Option<(JobId, u64)>,
 }
 
+/// The number that the owner gives a worker for as long as it owns the cell.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display,
+)]
+pub struct No(pub(crate) u32);
+
+impl No {
+    pub(crate) fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// A set of workers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Set {
+    words: Vec<u64>,
+}
+
+impl Set {
+    pub(crate) fn insert(&mut self, no: No) {
+        let word = no.index() / 64;
+        if self.words.len() <= word {
+            self.words.resize(word + 1, 0);
+        }
+        self.words[word] |= 1 << (no.index() % 64);
+    }
+
+    pub(crate) fn remove(&mut self, no: No) {
+        if let Some(word) = self.words.get_mut(no.index() / 64) {
+            *word &= !(1 << (no.index() % 64));
+        }
+    }
+
+    pub(crate) fn contains(&self, no: No) -> bool {
+        self.words.get(no.index() / 64).is_some_and(|w| w & (1 << (no.index() % 64)) != 0)
+    }
+
+    /// Whether every worker of `other` is in this set.
+    pub(crate) fn covers(&self, other: &Self) -> bool {
+        let own = self.words.iter().copied().chain(std::iter::repeat(0));
+        other.words.iter().zip(own).all(|(o, w)| o & !w == 0)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = No> + '_ {
+        (0u32..).zip(&self.words).flat_map(|(i, w)| {
+            (0..64).filter(move |b| w & (1 << b) != 0).map(move |b| No(i * 64 + b))
+        })
+    }
+}
+
 /// A worker and what its owner knows of it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Worker {
--- a/crates/catkin-node/src/asks/mod.rs
+++ b/crates/catkin-node/src/asks/mod.rs
@@ -57,6 +57,9 @@
     }
 }
 
+/// The adviser's time that the questions of one daemon may take together: the next one is there when one is answered.
+const AHEAD: Duration = Duration::from_millis(100);
+
 /// A daemon that can ask.
 #[derive(Clone, Debug)]
 struct Asker {
@@ -64,8 +67,20 @@
     addr: Option<SocketAddr>,
     heard: Duration,
     paused_until: Duration,
-    /// What it asks now: whether that is long.
-    busy: Option<bool>,
+    /// What the adviser needs for what it asks now.
+    asked: Duration,
+    /// Whether that includes a long question.
+    long: bool,
+}
+
+impl Asker {
+    fn new(addr: Option<SocketAddr>, heard: Duration) -> Self {
+        Self { addr, heard, paused_until: Duration::ZERO, asked: Duration::ZERO, long: false }
+    }
+
+    fn is_free(&self, now: Duration) -> bool {
+        alive(self, now) && now >= self.paused_until && !self.long && self.asked < AHEAD
+    }
 }
 
 /// Which daemon asks what next.
@@ -77,12 +92,7 @@
 
 impl Default for Askers {
     fn default() -> Self {
-        let own = Asker {
-            addr: None,
-            heard: Duration::MAX,
-            paused_until: Duration::ZERO,
-            busy: None,
-        };
+        let own = Asker::new(None, Duration::MAX);
         Self { askers: vec![own], waiting: Vec::new() }
     }
 }
@@ -93,14 +103,9 @@
         let heard = if draining { Duration::ZERO } else { now };
         match self.askers.iter_mut().find(|a| a.addr == Some(addr)) {
             Some(a) => a.heard = heard,
-            None => self.askers.push(Asker {
-                addr: Some(addr),
-                heard,
-                paused_until: Duration::ZERO,
-                busy: None,
-            }),
+            None => self.askers.push(Asker::new(Some(addr), heard)),
         }
-        self.askers.retain(|a| a.busy.is_some() || alive(a, now));
+        self.askers.retain(|a| !a.asked.is_zero() || alive(a, now));
     }
 
     /// A question waits for a daemon.
@@ -114,33 +119,44 @@
         self.waiting.len()
     }
 
+    /// How many daemons can ask.
+    #[must_use]
+    pub fn alive(&self, now: Duration) -> usize {
+        self.askers.iter().filter(|a| alive(a, now)).count()
+    }
+
     /// The next question that a daemon is free for, and that daemon.
     pub fn next(&mut self, now: Duration) -> Option<(Ask, Option<SocketAddr>)> {
         let live = self.askers.iter().filter(|a| alive(a, now)).count();
-        let long_now = self.askers.iter().filter(|a| a.busy == Some(true)).count();
+        let long_now = self.askers.iter().filter(|a| a.long).count();
         // Short questions find a free daemon at any time.
         let most_long = (live * 2 / 3).max(1);
-        let free = self
-            .askers
-            .iter()
-            .rposition(|a| a.busy.is_none() && alive(a, now) && now >= a.paused_until)?;
-        let fits = |a: &Ask| a.cost <= LONG || long_now < most_long;
+        let free = self.askers.iter().enumerate().filter(|(_, a)| a.is_free(now));
+        let (free, asker) = free.min_by_key(|(_, a)| a.asked)?;
+        // A long question goes to a daemon that asks nothing else.
+        let long = long_now < most_long && asker.asked.is_zero();
+        let rank = |a: &Ask| {
+            let late = a.before < now;
+            (late, if late { a.cost } else { a.before })
+        };
         let (i, _) = self
             .waiting
             .iter()
             .enumerate()
-            .filter(|(_, a)| fits(a))
-            .min_by_key(|(_, a)| (a.before, a.cost))?;
+            .filter(|(_, a)| a.cost <= LONG || long)
+            .min_by_key(|(_, a)| rank(a))?;
         let ask = self.waiting.swap_remove(i);
         let asker = &mut self.askers[free];
-        asker.busy = Some(ask.cost > LONG);
+        asker.asked += ask.cost;
+        asker.long = ask.cost > LONG;
         Some((ask, asker.addr))
     }
 
     /// The daemon at `addr` has its answer.
-    pub fn answered(&mut self, addr: Option<SocketAddr>, well: bool, now: Duration) {
+    pub fn answered(&mut self, ask: &Ask, addr: Option<SocketAddr>, well: bool, now: Duration) {
         if let Some(a) = self.askers.iter_mut().find(|a| a.addr == addr) {
-            a.busy = None;
+            a.asked = a.asked.saturating_sub(ask.cost);
+            a.long &= ask.cost <= LONG;
             if !well && a.addr.is_some() {
                 a.paused_until = now + PAUSE;
             }
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -2,15 +2,16 @@
 
 use crate::owner::Owner;
 use crate::settings::Settings;
+use crate::table;
 use catkin_peer::Calls;
 use catkin_platform::advice::Adviser;
 use catkin_platform::config::Config;
-use catkin_platform::store::{Rows, Store};
+use catkin_platform::store::Store;
 use catkin_platform::workers::Workers;
 use catkin_types::Epoch;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -34,7 +35,7 @@
     /// A number drawn at the start.
     pub incarnation: u64,
     /// The table service.
-    pub store: Store,
+    pub table: table::client::Client,
     /// The workers.
     pub workers: Workers,
     /// The adviser.
@@ -56,13 +57,6 @@
     /// Whether the daemon is about to stop.
     pub draining: AtomicBool,
     started: Instant,
-    clock: Mutex<TableClock>,
-}
-
-/// The clock of the table service and when it was read.
-#[derive(Clone, Copy, Debug, Default)]
-struct TableClock {
-    read: Option<(u64, Duration)>,
 }
 
 impl Cx {
@@ -75,7 +69,7 @@
         http: &catkin_http::Client,
     ) -> Self {
         Self {
-            store: Store::new(http.clone(), &cfg.table.address),
+            table: table::client::Client::new(Store::new(http.clone(), &cfg.table.address)),
             workers: Workers::new(http.clone()),
             adviser: Adviser::new(http.clone(), &cfg.adviser.address),
             cfg,
@@ -89,7 +83,6 @@
             stop: CancellationToken::new(),
             draining: AtomicBool::new(false),
             started: Instant::now(),
-            clock: Mutex::default(),
         }
     }
 
@@ -99,34 +92,6 @@
         self.started.elapsed()
     }
 
-    /// Notes that the table service answered, and what its clock showed.
-    pub fn table_answered(&self, clock_ms: u64) {
-        let mut clock = self.clock.lock().unwrap_or_else(PoisonError::into_inner);
-        if clock_ms > 0 {
-            clock.read = Some((clock_ms, self.now()));
-        }
-    }
-
-    /// Notes the clock of an answer with rows.
-    pub fn table_read(&self, rows: &Rows) {
-        self.table_answered(rows.clock_ms);
-    }
-
-    /// The table's clock now, in milliseconds, 0 if it was never read.
-    #[must_use]
-    pub fn table_ms(&self) -> u64 {
-        let clock = *self.clock.lock().unwrap_or_else(PoisonError::into_inner);
-        let passed = |at| u64::try_from((self.now().saturating_sub(at)).as_millis()).unwrap_or(0);
-        clock.read.map_or(0, |(ms, at)| ms + passed(at))
-    }
-
-    /// How long ago the table service answered.
-    #[must_use]
-    pub fn table_silence(&self) -> Duration {
-        let clock = *self.clock.lock().unwrap_or_else(PoisonError::into_inner);
-        clock.read.map_or(Duration::MAX, |(_, at)| self.now().saturating_sub(at))
-    }
-
     /// Whether the daemon is about to stop.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -16,8 +16,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long the table service may take for one answer.
-const PATIENCE: Duration = Duration::from_millis(700);
+/// How long a client is kept while it is not known whether its job is stored: then it is told so, and may ask another
+/// daemon.
+const SETTLE: Duration = Duration::from_millis(1_600);
 /// The pause before a call whose answer was lost is made again.
 const PAUSE: Duration = Duration::from_millis(60);
 /// How long the owner may take for one answer.
@@ -40,6 +41,7 @@
     deadline: Duration,
 ) -> Response<Body> {
     let changes = table::accept(id, &job);
+    let deadline = deadline.min(cx.now() + SETTLE);
     let mut lost = false;
     loop {
         let left = deadline.saturating_sub(cx.now());
@@ -47,9 +49,8 @@
             tracing::info!(job = format_job(id), "gate: it is not known whether the job is stored");
             return body::text(504, "it is not known whether the job is accepted\n");
         }
-        match cx.store.commit(&changes, PATIENCE.min(left)).await {
-            Ok(Outcome::Done { clock_ms, .. }) => {
-                cx.table_answered(clock_ms);
+        match cx.table.commit(&changes, left).await {
+            Ok(Outcome::Done { .. }) => {
                 tracing::info!(job = format_job(id), queue = job.queue, "gate: accepted");
                 tell(cx, Request::Offer {
                     shard: String::new(),
@@ -143,7 +144,7 @@
         if left.is_zero() {
             return None;
         }
-        match read(cx, id, PATIENCE.min(left)).await {
+        match read(cx, id, left).await {
             Ok(stored) => return Some(stored),
             Err(e) => {
                 tracing::debug!(job = format_job(id), "gate: not read: {e}");
@@ -155,15 +156,12 @@
 
 /// Reads a job. Its end is written in the same transaction in which its row is dropped: the row is read first.
 async fn read(cx: &Cx, id: JobId, patience: Duration) -> Result<Stored, Error> {
-    let (row, _) = cx.store.read_one(&job_key(JOBS, id), patience).await?;
-    if let Some(row) = row {
+    if let Some(row) = cx.table.read_one(&job_key(JOBS, id), patience).await? {
         let job: Job = table::read(&row)
             .ok_or_else(|| Error::Malformed(format!("the row of job {}", row.key)))?;
         return Ok(Stored::Open { job, version: row.version });
     }
-    let (row, clock_ms) = cx.store.read_one(&job_key(ENDED, id), patience).await?;
-    cx.table_answered(clock_ms);
-    let Some(row) = row else { return Ok(Stored::Never) };
+    let Some(row) = cx.table.read_one(&job_key(ENDED, id), patience).await? else { return Ok(Stored::Never) };
     let end: End =
         table::read(&row).ok_or_else(|| Error::Malformed(format!("the end of job {}", row.key)))?;
     Ok(Stored::Ended(end.state))
@@ -189,7 +187,7 @@
             remove: Vec::new(),
         };
         let left = deadline.saturating_sub(cx.now());
-        match cx.store.commit(&changes, PATIENCE.min(left)).await {
+        match cx.table.commit(&changes, left).await {
             Ok(Outcome::Done { .. }) => {
                 tracing::info!(job = format_job(id), "gate: cancelled");
                 tell(cx, Request::Cancel { shard: String::new(), jobs: vec![id] });
--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -8,7 +8,7 @@
 use catkin_http::body::{self, Body};
 use catkin_platform::config::Config;
 use catkin_platform::entry;
-use catkin_types::id::parse_job;
+use catkin_types::id::{format_job, parse_job};
 use hyper::body::Incoming;
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Method, Request, Response};
@@ -57,6 +57,10 @@
     req: Request<Incoming>,
     deadline: Duration,
 ) -> Response<Body> {
+    if cx.table.is_silent() {
+        tracing::info!(job = format_job(id), "gate: refused, the table does not answer");
+        return refused(503, "the job can't be stored now");
+    }
     let bytes = match body::read(req.into_body(), config.max_body).await {
         Ok(bytes) => bytes,
         Err(catkin_http::Error::TooLarge(max)) => {
@@ -68,7 +72,7 @@
         Ok(mut job) => {
             job.queue.clone_from(&found.route.queue);
             job.service.clone_from(&found.route.rules.service);
-            job.accepted_ms = cx.table_ms();
+            job.accepted_ms = cx.table.clock_ms();
             jobs::accept(cx, id, job, deadline).await
         }
         Err(e) => body::text(400, format!("{e}\n")),
@@ -101,6 +105,6 @@
         return body::text(404, "nothing here\n");
     }
     let configured = cx.config.borrow().is_some();
-    let well = configured && cx.table_silence() < SILENCE && !cx.draining.load(Ordering::Relaxed);
+    let well = configured && cx.table.unserved() < SILENCE && !cx.draining.load(Ordering::Relaxed);
     if well { body::text(200, "ready\n") } else { body::text(503, "not ready\n") }
 }
--- a/crates/catkin-node/src/lead/load.rs
+++ b/crates/catkin-node/src/lead/load.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// How long one answer may take.
-const PATIENCE: Duration = Duration::from_millis(1_200);
+const PATIENCE: Duration = Duration::from_secs(3);
 /// How often a call is tried.
 const TRIES: u32 = 8;
 /// The pause between two tries.
@@ -78,11 +78,8 @@
     for _ in 0..TRIES {
         let expected = match version {
             Some(v) => v,
-            None => match cx.store.read_one(&key, PATIENCE).await {
-                Ok((row, clock)) => {
-                    cx.table_answered(clock);
-                    row.map_or(0, |r| r.version)
-                }
+            None => match cx.table.read_one(&key, PATIENCE).await {
+                Ok(row) => row.map_or(0, |r| r.version),
                 Err(e) => {
                     tracing::debug!("lead: part {part} not read: {e}");
                     tokio::time::sleep(PAUSE).await;
@@ -96,7 +93,7 @@
             put: vec![(key.clone(), table::to_json(&head))],
             remove: Vec::new(),
         };
-        match cx.store.commit(&changes, PATIENCE).await {
+        match cx.table.commit(&changes, PATIENCE).await {
             Ok(Outcome::Done { version, .. }) => return Ok(version),
             Ok(Outcome::Conflict(rows)) => {
                 let row = rows.first();
@@ -128,9 +125,8 @@
     loop {
         // The smallest key behind the last one.
         let from = rows.last().map(|r| format!("{}\0", r.key));
-        match cx.store.read(table, part, from.as_deref(), None, PATIENCE).await {
+        match cx.table.read(table, part, from.as_deref()).await {
             Ok(answer) => {
-                cx.table_read(&answer);
                 let first = *version.get_or_insert(answer.version);
                 rows.extend(answer.rows);
                 if !answer.more {
--- a/crates/catkin-node/src/lead/mod.rs
+++ b/crates/catkin-node/src/lead/mod.rs
@@ -21,16 +21,20 @@
 pub const RENEW: Duration = Duration::from_millis(500);
 /// How old the row may become before somebody else takes over: the owner missed two of its writes.
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_500);
-/// The age from which an owner that does not call itself one is not just beginning.
+/// The age from which an owner that is gone, or does not call itself one, is not just beginning.
 const BEGINNING: Duration = Duration::from_millis(600);
 /// How often the owner is called.
 const BEAT: Duration = Duration::from_millis(300);
 /// How long the owner may take to answer.
 const BEAT_PATIENCE: Duration = Duration::from_millis(400);
-/// How long the table service may take to answer.
-const PATIENCE: Duration = Duration::from_millis(800);
+/// How long the table service may take to answer, at most.
+const PATIENCE: Duration = Duration::from_millis(1_500);
 /// The pause before the row is read again.
 const READ_AGAIN: Duration = Duration::from_millis(200);
+/// For how long an owner that can't write its row still calls itself one.
+const UNCONFIRMED: Duration = Duration::from_millis(1_200);
+/// How long an owner that answers, and says that it can't write, is given to write after all.
+const GRACE: Duration = Duration::from_millis(700);
 /// For how long an owner acts without an answer of the table service.
 pub const AUTONOMY: Duration = Duration::from_secs(10);
 
@@ -43,18 +47,19 @@
 
 /// Follows the owner of the cell, and becomes it when there is none, until the daemon stops.
 pub async fn run(cx: Arc<Cx>) {
-    let mut failed = 0;
+    let mut heard = Heard::Well;
     let mut known = Known::default();
     loop {
-        let quiet = failed > 0 || known.lead.address.is_empty();
+        let quiet = heard != Heard::Well || known.lead.address.is_empty();
         if quiet && let Some(now_known) = read(&cx).await {
             known = now_known;
             announce(&cx, &known.lead);
-            if !cx.is_draining() && is_free(&cx, &known.lead, failed) {
-                tokio::time::sleep(jitter()).await;
+            if !cx.is_draining() && is_free(&cx, &known.lead, heard) {
+                let grace = if heard == Heard::Other { GRACE } else { Duration::ZERO };
+                tokio::time::sleep(grace + jitter()).await;
                 known = take_over(&cx, known).await;
                 announce(&cx, &known.lead);
-                failed = 0;
+                heard = Heard::Well;
                 continue;
             }
         }
@@ -62,45 +67,50 @@
             tokio::time::sleep(READ_AGAIN).await;
             continue;
         }
-        match beat(&cx, &known.lead).await {
-            true => {
-                failed = 0;
-                tokio::time::sleep(BEAT).await;
-            }
-            false => {
-                failed += 1;
-                tokio::time::sleep(READ_AGAIN).await;
-            }
-        }
+        heard = beat(&cx, &known.lead).await;
+        tokio::time::sleep(if heard == Heard::Well { BEAT } else { READ_AGAIN }).await;
     }
 }
 
+/// What came of calling the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Heard {
+    /// It answers as the owner of the term.
+    Well,
+    /// Nobody takes calls at its address.
+    Gone,
+    /// Whoever answers there does not call itself the owner.
+    Other,
+    /// It does not answer in time.
+    Silent,
+}
+
 /// Daemons that find the cell free at the same time do not all write at once.
 fn jitter() -> Duration {
     Duration::from_millis(rand::rng().random_range(0..60))
 }
 
 /// Whether the owner of the row let go, died, or has not renewed it for too long.
-fn is_free(cx: &Cx, lead: &Lead, failed: u32) -> bool {
+fn is_free(cx: &Cx, lead: &Lead, heard: Heard) -> bool {
     if lead.address.is_empty() {
         return true;
     }
-    let age = Duration::from_millis(cx.table_ms().saturating_sub(lead.renewed_ms));
+    let age = Duration::from_millis(cx.table.clock_ms().saturating_sub(lead.renewed_ms));
     // This daemon does not own the cell: the row speaks of a life that is over, or of a term that it let go.
     let own = lead.daemon == cx.cfg.daemon.id;
-    own || age > TAKE_OVER_AFTER || (failed > 1 && age > BEGINNING)
+    own || age > TAKE_OVER_AFTER || (matches!(heard, Heard::Gone | Heard::Other) && age > BEGINNING)
 }
 
-/// Calls the owner. Returns whether it answers as the owner of that term.
-async fn beat(cx: &Cx, lead: &Lead) -> bool {
-    let Ok(addr) = lead.address.parse() else { return false };
+/// Calls the owner.
+async fn beat(cx: &Cx, lead: &Lead) -> Heard {
+    let Ok(addr) = lead.address.parse() else { return Heard::Gone };
     let req = Request::Beat(own_beat(cx));
     match cx.calls.call(addr, req, BEAT_PATIENCE).await {
-        Ok(Response::Beat(b)) => b.leads == lead.epoch,
-        Ok(_) => false,
+        Ok(Response::Beat(b)) if b.leads == lead.epoch => Heard::Well,
+        Ok(_) => Heard::Other,
         Err(e) => {
             tracing::debug!("lead: the owner does not answer: {e}");
-            false
+            if e.is_refused() { Heard::Gone } else { Heard::Silent }
         }
     }
 }
@@ -120,11 +130,8 @@
 }
 
 async fn read(cx: &Cx) -> Option<Known> {
-    match cx.store.read_one(&table::lead_key(), PATIENCE).await {
-        Ok((row, clock_ms)) => {
-            cx.table_answered(clock_ms);
-            Some(row.map_or_else(Known::default, |r| known(&r)))
-        }
+    match cx.table.read_one(&table::lead_key(), PATIENCE).await {
+        Ok(row) => Some(row.map_or_else(Known::default, |r| known(&r))),
         Err(e) => {
             tracing::debug!("lead: not read: {e}");
             None
@@ -159,7 +166,7 @@
         daemon: cx.cfg.daemon.id.clone(),
         incarnation: cx.incarnation,
         address: cx.peer_address(),
-        renewed_ms: cx.table_ms(),
+        renewed_ms: cx.table.clock_ms(),
     };
     let known = match write(cx, &mine, before.version).await {
         Written::Mine(version) => Known { lead: mine, version },
@@ -195,11 +202,8 @@
         put: vec![(key, table::to_json(lead))],
         remove: Vec::new(),
     };
-    match cx.store.commit(&changes, PATIENCE).await {
-        Ok(Outcome::Done { version, clock_ms }) => {
-            cx.table_answered(clock_ms);
-            Written::Mine(version)
-        }
+    match cx.table.commit(&changes, PATIENCE).await {
+        Ok(Outcome::Done { version, .. }) => Written::Mine(version),
         Ok(Outcome::Conflict(rows)) => {
             let other = rows.first().map_or_else(Known::default, known);
             // An earlier try of the same write, whose answer was lost.
@@ -257,6 +261,9 @@
             Renewed::Other(other) => break other,
             Renewed::No => {}
         }
+        // An owner that can't write says so. Whoever can takes over; if nobody can, it goes on.
+        let unconfirmed = cx.now().saturating_sub(confirmed) > UNCONFIRMED;
+        cx.leads.store(if unconfirmed { 0 } else { epoch }, Ordering::Relaxed);
         if cx.now().saturating_sub(confirmed) > AUTONOMY {
             tracing::warn!(epoch, "lead: let go, the table service does not answer");
             break known;
@@ -275,7 +282,7 @@
 }
 
 async fn renew(cx: &Cx, known: &mut Known) -> Renewed {
-    let lead = Lead { renewed_ms: cx.table_ms(), ..known.lead.clone() };
+    let lead = Lead { renewed_ms: cx.table.clock_ms(), ..known.lead.clone() };
     match write(cx, &lead, known.version).await {
         Written::Mine(version) => {
             *known = Known { lead, version };
--- a/crates/catkin-node/src/owner/commits.rs
+++ b/crates/catkin-node/src/owner/commits.rs
@@ -10,8 +10,8 @@
 
 /// A batch holds at most so many jobs: each takes up to three entries of a call.
 const MOST_JOBS: usize = 30;
-/// How long an answer may take.
-const PATIENCE: Duration = Duration::from_millis(1_000);
+/// How long an answer may take, at most.
+const PATIENCE: Duration = Duration::from_secs(3);
 /// The pause before a batch is tried again.
 const PAUSE: Duration = Duration::from_millis(150);
 /// The least time between two batches of a part, so that each holds more.
@@ -59,7 +59,7 @@
             }
             p.busy = true;
             let head = Head { epoch: self.parts.epoch, writes: p.writes + 1 };
-            let changes = table::batch(part, p.version, head, &batch, self.cx.table_ms());
+            let changes = table::batch(part, p.version, head, &batch, self.cx.table.clock_ms());
             let (cx, me) = (Arc::clone(&self.cx), self.me.clone());
             self.spawn(async move {
                 let msg = match write(&cx, part, head, &changes).await {
@@ -76,11 +76,8 @@
 /// owner. The row's version makes a batch that is carried out late, or twice, have no effect.
 async fn write(cx: &Cx, part: usize, head: Head, changes: &Changes) -> Option<u64> {
     loop {
-        match cx.store.commit(changes, PATIENCE).await {
-            Ok(Outcome::Done { version, clock_ms }) => {
-                cx.table_answered(clock_ms);
-                return Some(version);
-            }
+        match cx.table.commit(changes, PATIENCE).await {
+            Ok(Outcome::Done { version, .. }) => return Some(version),
             Ok(Outcome::Conflict(rows)) => {
                 let row = rows.iter().find(|r| r.key == table::head_key(part).key)?;
                 let now: Head = table::read(row)?;
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -18,8 +18,6 @@
 const WORKERS_EVERY: Duration = Duration::from_millis(600);
 /// How often jobs are read that nobody told of.
 const JOBS_EVERY: Duration = Duration::from_millis(1_000);
-/// How long an answer may take.
-const PATIENCE: Duration = Duration::from_millis(800);
 
 impl Running {
     pub(super) fn follow_config(&self) {
@@ -41,9 +39,8 @@
             let mut after = after;
             loop {
                 tokio::time::sleep(WORKERS_EVERY).await;
-                match cx.store.changes(list::TABLE, after, Duration::ZERO, PATIENCE).await {
+                match cx.table.changes(list::TABLE, after, Duration::ZERO).await {
                     Ok(rows) => {
-                        cx.table_read(&rows);
                         after = after.max(rows.version);
                         tell_workers(&me, &rows.rows, false);
                     }
@@ -65,9 +62,8 @@
             let mut after = after;
             loop {
                 tokio::time::sleep(JOBS_EVERY).await;
-                match cx.store.changes(JOBS, after, Duration::ZERO, PATIENCE).await {
+                match cx.table.changes(JOBS, after, Duration::ZERO).await {
                     Ok(rows) => {
-                        cx.table_read(&rows);
                         after = after.max(rows.version);
                         tell_jobs(&me, &rows.rows);
                     }
--- a/crates/catkin-node/src/owner/looks.rs
+++ b/crates/catkin-node/src/owner/looks.rs
@@ -2,9 +2,8 @@
 
 use super::{Message, Running};
 use catkin_cell::Action;
-use catkin_cell::worker::{Reply, Seen};
+use catkin_cell::worker::{No, Reply, Seen};
 use catkin_platform::workers::Look;
-use catkin_types::WorkerId;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,56 +30,52 @@
 /// The looks of all workers.
 #[derive(Debug, Default)]
 pub(super) struct Looks {
-    workers: HashMap<WorkerId, State>,
+    workers: HashMap<No, State>,
 }
 
 impl Running {
     /// Sends the looks that are due.
     pub(super) fn look_around(&mut self, now: Duration) {
-        for id in self.cell.worker_ids() {
-            let state = self.looks.workers.entry(id.clone()).or_default();
-            if state.waiting || now < state.next {
+        for no in self.cell.nos() {
+            let state = self.looks.workers.entry(no).or_default();
+            if state.waiting || now < state.next || self.cell.forgotten(no, now) {
                 continue;
             }
-            let pending = self.cell.ends_pending(&id);
+            let pending = self.cell.ends_pending(no);
             if pending && now.saturating_sub(state.last) < RENEW_BESIDE {
                 continue;
             }
             state.waiting = true;
             state.last = now;
-            let wait = if pending || !self.cell.answers(&id) { Duration::ZERO } else { WAIT };
-            self.look_waiting(&id, wait, now, true);
+            let wait = if pending || !self.cell.answers(no) { Duration::ZERO } else { WAIT };
+            self.look(no, wait, now, true);
         }
     }
 
-    /// Looks at a worker beside the look that waits there.
-    pub(super) fn look(&mut self, id: &WorkerId, wait: Duration, now: Duration) {
-        self.look_waiting(id, wait, now, false);
-    }
-
-    fn look_waiting(&mut self, id: &WorkerId, wait: Duration, now: Duration, long: bool) {
-        let Some(view) = self.cell.view(id, now) else { return };
+    /// Looks at a worker. The one `long` look at a time is followed by the next; others are beside it.
+    pub(super) fn look(&mut self, no: No, wait: Duration, now: Duration, long: bool) {
+        let view = self.cell.view(no, now);
         let look = Look {
-            worker: id.clone(),
+            worker: view.id,
             epoch: self.cell.epoch(),
             lease_to_ms: view.lease_to_ms,
             acknowledged: view.acknowledged,
             wait,
         };
-        let (cx, me, id) = (Arc::clone(&self.cx), self.me.clone(), id.clone());
+        let (cx, me) = (Arc::clone(&self.cx), self.me.clone());
         self.spawn(async move {
             let sent = cx.now();
             let seen = cx.workers.look(&view.addr, &look, wait + PATIENCE).await;
             let seen = seen
-                .inspect_err(|e| tracing::debug!(worker = id, "owner: look not answered: {e}"))
+                .inspect_err(|e| tracing::debug!(worker = look.worker, "owner: not seen: {e}"))
                 .ok();
-            drop(me.send_message(Message::Seen(id, sent, long, seen)));
+            drop(me.send_message(Message::Seen(no, sent, long, seen)));
         });
     }
 
     pub(super) fn seen(
         &mut self,
-        id: &WorkerId,
+        no: No,
         sent: Duration,
         long: bool,
         seen: Option<Result<Seen, Reply>>,
@@ -90,7 +85,7 @@
         let pause = match seen {
             Some(Ok(seen)) => {
                 let pause = if seen.ended.is_empty() { Duration::ZERO } else { GATHER };
-                self.cell.seen(id, sent, &seen, now, out);
+                self.cell.seen(no, sent, &seen, now, out);
                 pause
             }
             Some(Err(Reply::Fenced)) => {
@@ -98,19 +93,20 @@
                 PAUSE
             }
             Some(Err(reply)) => {
-                tracing::info!(worker = id, "owner: look answered {reply:?}");
+                let worker = self.cell.contact(no).0;
+                tracing::info!(worker, "owner: look answered {reply:?}");
                 if reply == Reply::OtherLife {
-                    self.cell.other_life(id);
+                    self.cell.other_life(no);
                 }
                 PAUSE
             }
             None => {
-                self.cell.not_seen(id);
+                self.cell.not_seen(no);
                 PAUSE
             }
         };
         if long {
-            let state = self.looks.workers.entry(id.clone()).or_default();
+            let state = self.looks.workers.entry(no).or_default();
             state.waiting = false;
             state.next = now + pause;
         }
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -11,7 +11,7 @@
 use crate::lead::load;
 use catkin_cell::action::Loaded;
 use catkin_cell::cell::Advised;
-use catkin_cell::worker::{Listed, Reply, Seen};
+use catkin_cell::worker::{Listed, No, Reply, Seen};
 use catkin_cell::{Action, Ask, Cell, Job, Options, Start, State, Stop, Write};
 use catkin_platform::config::Config;
 use catkin_types::{Epoch, JobId, WorkerId};
@@ -56,7 +56,7 @@
     /// Jobs as the table has them.
     Stored(Vec<(JobId, Job)>),
     /// A look at a worker, sent at the time given, was answered, declined or lost.
-    Seen(WorkerId, Duration, bool, Option<Result<Seen, Reply>>),
+    Seen(No, Duration, bool, Option<Result<Seen, Reply>>),
     /// An order to start was answered.
     Started(Box<Start>, Reply),
     /// An order to stop was answered.
@@ -155,10 +155,13 @@
     /// Whether a [`Message::Pass`] is on its way.
     pass_pending: bool,
     last_pass: Duration,
+    last_summary: Duration,
 }
 
 /// The least time between two passes over what waits.
 const PASS_EVERY: Duration = Duration::from_millis(8);
+/// How often a line is logged on the cell as a whole.
+const SUMMARY_EVERY: Duration = Duration::from_secs(1);
 /// How often time is seen to go by.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -194,6 +197,7 @@
             stop: args.stop,
             pass_pending: false,
             last_pass: Duration::ZERO,
+            last_summary: Duration::ZERO,
             cx: args.cx,
         };
         state.begin(args.loaded, now);
@@ -247,7 +251,7 @@
         if at_ms == 0 {
             return Duration::ZERO;
         }
-        Duration::from_millis(self.cx.table_ms().saturating_sub(at_ms))
+        Duration::from_millis(self.cx.table.clock_ms().saturating_sub(at_ms))
     }
 
     /// Spawns a task that ends with the owner.
@@ -273,7 +277,7 @@
                 self.pass();
                 return;
             }
-            Message::Tick => {}
+            Message::Tick => self.summarise(now),
             Message::Offer(id, job) => self.add(id, *job, now),
             Message::Stored(jobs) => {
                 for (id, job) in jobs {
@@ -282,11 +286,11 @@
             }
             Message::Cancel(id) => self.cell.cancel(id, &mut out),
             Message::State(id, tx) => {
-                drop(tx.send(self.cell.state(id)));
+                let _ = tx.send(self.cell.state(id));
                 return;
             }
             Message::Waiting(queue, tx) => {
-                drop(tx.send(self.cell.waiting(&queue)));
+                let _ = tx.send(self.cell.waiting(&queue));
                 return;
             }
             Message::Heard(addr, draining) => {
@@ -299,7 +303,7 @@
                 gone.iter().for_each(|id| self.cell.unlist(id, now));
             }
             Message::Seen(id, sent, long, seen) => {
-                self.seen(&id, sent, long, seen, now, &mut out);
+                self.seen(id, sent, long, seen, now, &mut out);
             }
             Message::Started(s, reply) => self.cell.started(&s, reply, now, &mut out),
             Message::Stopped(s, reply) => self.cell.stopped(&s, reply, now, &mut out),
@@ -314,6 +318,36 @@
         self.pass_soon(now);
     }
 
+    fn summarise(&mut self, now: Duration) {
+        if now.saturating_sub(self.last_summary) < SUMMARY_EVERY {
+            return;
+        }
+        self.last_summary = now;
+        let c = self.cell.counts();
+        let s = self.cell.summary(now);
+        tracing::info!(
+            epoch = self.cell.epoch(),
+            jobs = s.jobs,
+            steps_waiting = s.steps_waiting,
+            steps_reserved = s.steps_reserved,
+            steps_unsettled = s.steps_unsettled,
+            tasks_held = s.tasks_held,
+            workers = s.workers,
+            workers_usable = s.workers_usable,
+            cpu_used = s.cpu_used_milli,
+            cpu_all = s.cpu_all_milli,
+            asks_waiting = self.askers.waiting(),
+            askers = self.askers.alive(now),
+            starts = c.starts,
+            done = c.done,
+            failed = c.failed,
+            lost = c.lost,
+            declined = c.declined,
+            gangs_given_up = c.gangs_given_up,
+            "owner: cell"
+        );
+    }
+
     fn add(&mut self, id: JobId, job: Job, now: Duration) {
         let age = self.age(job.accepted_ms);
         self.cell.add(id, Loaded { job, ..Loaded::default() }, age, now);
--- a/crates/catkin-node/src/owner/orders.rs
+++ b/crates/catkin-node/src/owner/orders.rs
@@ -11,17 +11,17 @@
 
 impl Running {
     pub(super) fn order_start(&mut self, s: Start) {
-        let Some(addr) = self.cell.addr(&s.worker) else { return };
+        let (worker, addr) = self.cell.contact(s.worker);
         let (cx, me, epoch) = (Arc::clone(&self.cx), self.me.clone(), self.cell.epoch());
         self.spawn(async move {
-            let reply = cx.workers.start(&addr, &s, epoch, PATIENCE).await;
+            let reply = cx.workers.start(&worker, &addr, &s, epoch, PATIENCE).await;
             if reply != Reply::Done {
                 tracing::info!(
                     job = format!("{:016x}", s.task.step.job),
                     step = s.task.step.step,
                     index = s.task.index,
                     run = s.run,
-                    worker = s.worker,
+                    worker,
                     "owner: start answered {reply:?}"
                 );
             }
@@ -30,16 +30,16 @@
     }
 
     pub(super) fn order_stop(&mut self, s: Stop) {
-        let Some(addr) = self.cell.addr(&s.worker) else { return };
+        let (worker, addr) = self.cell.contact(s.worker);
         let (cx, me, epoch) = (Arc::clone(&self.cx), self.me.clone(), self.cell.epoch());
         self.spawn(async move {
-            let reply = cx.workers.stop(&addr, &s, epoch, PATIENCE).await;
+            let reply = cx.workers.stop(&worker, &addr, &s, epoch, PATIENCE).await;
             tracing::info!(
                 job = format!("{:016x}", s.task.step.job),
                 step = s.task.step.step,
                 index = s.task.index,
                 run = s.run,
-                worker = s.worker,
+                worker,
                 "owner: stop answered {reply:?}"
             );
             drop(me.send_message(Message::Stopped(Box::new(s), reply)));
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -5,6 +5,7 @@
 use catkin_cell::Action;
 use catkin_cell::Ask;
 use catkin_cell::cell::Advised;
+use catkin_types::id::format_job;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -28,7 +29,7 @@
                 Action::Start(s) => self.order_start(s),
                 Action::Stop(s) => self.order_stop(s),
                 Action::Ask(ask) => self.askers.push(ask),
-                Action::Look(id) => self.look(&id, Duration::ZERO, now),
+                Action::Look(no) => self.look(no, Duration::ZERO, now, false),
                 Action::Deposed => self.deposed.cancel(),
             }
         }
@@ -45,10 +46,20 @@
                 let answer = asks::ask_by(&cx, by, &ask).await;
                 let answer = answer
                     .inspect_err(|e| {
-                        tracing::debug!(job = format!("{:016x}", ask.step.job), "owner: no advice: {e}");
+                        let job = format_job(ask.step.job);
+                        tracing::info!(job, by = ?by, "owner: no advice: {e}");
                     })
                     .ok()
                     .map(Advised::Good);
+                tracing::info!(
+                    job = format_job(ask.step.job),
+                    step = ask.step.step,
+                    workers = ask.workers.len(),
+                    by = ?by,
+                    took_ms = (cx.now() - sent).as_millis(),
+                    cost_ms = ask.cost.as_millis(),
+                    "owner: advised"
+                );
                 drop(me.send_message(Message::Advised(Box::new(ask), by, sent, answer)));
             });
         }
@@ -62,7 +73,7 @@
         advised: Option<Advised>,
         now: Duration,
     ) {
-        self.askers.answered(by, advised.is_some(), now);
+        self.askers.answered(ask, by, advised.is_some(), now);
         // The adviser decided at the earliest so long after it was asked.
         let answered = (sent + ask.cost).min(now);
         self.cell.advised(ask, advised.unwrap_or(Advised::Nothing), answered, now);
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -4,11 +4,13 @@
 //! | --- | --- | --- | --- | --- |
 //! | `cell` | | `lead` | [`Lead`] | the owner, each [`crate::lead::RENEW`]; whoever takes over |
 //! | `shard` | `0`.. | `head` | [`Head`] | the owner, with every write of jobs of the part |
-//! | `job` | `0`.. | job | [`Job`] | the daemon that accepts or cancels it; the owner drops it |
+//! | `job` | `0`.. | job | [`catkin_cell::Job`] | the daemon that accepts or cancels it; the owner drops it |
 //! | `progress` | `0`.. | job | [`Progress`] | the owner |
 //! | `ended` | `0`.. | job | [`End`] | the owner |
 
-use catkin_cell::{Job, Progress, State};
+pub mod client;
+
+use catkin_cell::{Progress, State};
 use catkin_platform::store::{Changes, Key, Row};
 use catkin_types::id::format_job;
 use catkin_types::{DaemonId, Epoch, JobId};
@@ -98,7 +100,7 @@
 
 /// What accepts a job, unless it was accepted before.
 #[must_use]
-pub fn accept(id: JobId, job: &Job) -> Changes {
+pub fn accept(id: JobId, job: &catkin_cell::Job) -> Changes {
     Changes {
         expect: vec![(job_key(JOBS, id), 0), (job_key(ENDED, id), 0)],
         put: vec![(job_key(JOBS, id), to_json(job))],
--- a/crates/catkin-node/src/watch/mod.rs
+++ b/crates/catkin-node/src/watch/mod.rs
@@ -11,8 +11,8 @@
 
 /// How long one question for changes waits. A connection that went silent is noticed so much later.
 const WAIT: Duration = Duration::from_millis(1_500);
-/// How long an answer may take.
-const PATIENCE: Duration = Duration::from_millis(500);
+/// How long the whole configuration is waited for.
+const READ_PATIENCE: Duration = Duration::from_secs(1);
 /// The pause after a question that failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -24,9 +24,8 @@
             continue;
         };
         loop {
-            match cx.store.changes(TABLE, after, WAIT, WAIT + PATIENCE).await {
+            match cx.table.changes(TABLE, after, WAIT).await {
                 Ok(rows) => {
-                    cx.table_read(&rows);
                     rows.rows.iter().filter(|r| r.key == KEY).for_each(|r| take(&tx, r));
                     after = after.max(rows.version);
                 }
@@ -34,6 +33,8 @@
                 Err(e) => {
                     tracing::debug!("config: no news: {e}");
                     tokio::time::sleep(PAUSE).await;
+                    // A read is answered at once, and tells so whether the service is back.
+                    break;
                 }
             }
         }
@@ -43,15 +44,16 @@
 /// Reads the configuration. Returns the version after which changes are new.
 async fn read(cx: &Cx, tx: &watch::Sender<Option<Arc<Config>>>) -> Option<u64> {
     let key = Key { table: Cow::Borrowed(TABLE), part: Cow::Borrowed(""), key: KEY.into() };
-    let rows = cx
-        .store
-        .read(&key.table, &key.part, Some(&key.key), Some(1), PATIENCE)
+    let (row, version) = cx
+        .table
+        .read_with_version(&key, READ_PATIENCE)
         .await
-        .inspect_err(|e| tracing::warn!("config: not read: {e}"))
+        .inspect_err(|e| tracing::debug!("config: not read: {e}"))
         .ok()?;
-    cx.table_read(&rows);
-    rows.rows.iter().filter(|r| r.key == KEY).for_each(|r| take(tx, r));
-    Some(rows.version)
+    if let Some(row) = row {
+        take(tx, &row);
+    }
+    Some(version)
 }
 
 /// Takes a configuration over unless it is older than the one in force.
--- a/crates/catkin-peer/src/client/mod.rs
+++ b/crates/catkin-peer/src/client/mod.rs
@@ -113,7 +113,10 @@
 ) -> Result<peer::Client, Error> {
     let connect = tokio::time::timeout(opt.connect_timeout, TcpStream::connect(to));
     let not_sent = |e: &dyn std::fmt::Display| Error::NotSent(e.to_string());
-    let stream = connect.await.map_err(|e| not_sent(&e))?.map_err(|e| not_sent(&e))?;
+    let stream = connect.await.map_err(|e| not_sent(&e))?.map_err(|e| match e.kind() {
+        std::io::ErrorKind::ConnectionRefused => Error::Refused(e.to_string()),
+        _ => not_sent(&e),
+    })?;
     let counts = traffic.of(classify(opt, to));
     let (r, w) = tokio::io::split(Counted::new(stream, counts));
     let network = twoparty::VatNetwork::new(
--- a/crates/catkin-peer/src/error/mod.rs
+++ b/crates/catkin-peer/src/error/mod.rs
@@ -6,7 +6,18 @@
     /// The other daemon was not reached.
     #[display("not sent: {_0}")]
     NotSent(#[error(not(source))] String),
+    /// Nobody takes calls at the address.
+    #[display("refused: {_0}")]
+    Refused(#[error(not(source))] String),
     /// The call may have arrived.
     #[display("answer lost: {_0}")]
     Lost(#[error(not(source))] String),
 }
+
+impl Error {
+    /// Whether the other machine answered that nobody takes calls there.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused(_))
+    }
+}
--- a/src/bin/catkincartd/node.rs
+++ b/src/bin/catkincartd/node.rs
@@ -6,6 +6,7 @@
 use error_stack::{Report, ResultExt};
 use std::path::Path;
 use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs a node until SIGTERM or SIGINT.
 pub async fn run(file: &Path) -> Result<ExitCode, Report<Error>> {
@@ -14,7 +15,27 @@
     let cfg = settings::parse(&name, &text).change_context(Error::Daemon)?;
     let _guard = log::start_lines(&cfg.log.filter);
     let node = Node::start(cfg).await.change_context(Error::Daemon)?;
-    run::signalled().await?;
+    let mut hup = signal(SignalKind::hangup()).change_context(Error::Runtime)?;
+    let stopped = run::signalled();
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            res = &mut stopped => break res?,
+            _ = hup.recv() => reload(file),
+        }
+    }
     node.stop().await;
     Ok(ExitCode::SUCCESS)
 }
+
+/// Reads the settings again and says whether they are sound. What they hold is fixed for the life of the process.
+fn reload(file: &Path) {
+    let name = file.display().to_string();
+    match std::fs::read_to_string(file) {
+        Ok(text) => match settings::parse(&name, &text) {
+            Ok(cfg) => tracing::info!(daemon = cfg.daemon.id, "node: settings read again"),
+            Err(e) => tracing::error!("node: the new settings can't be used: {e:?}"),
+        },
+        Err(e) => tracing::error!("node: {name}: {e}"),
+    }
+}
