Failures are counted once, and running tasks of an earlier owner are adopted whatever their run

Cause: after a take-over, tasks began with the highest run of their step, so that a task that ran under a lower one was stopped and started elsewhere beside it (TWICE); and an end that had been counted and not yet acknowledged was counted again (jobs shown as failed with three failures of four). Progress keeps the newest run that was counted.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -84,6 +84,49 @@
         Some(if j.begun { State::Running } else { State::Queued })
     }
 
+    /// What the owner knows of a job, for whoever asks why it waits.
+    #[must_use]
+    pub fn explain(&self, id: JobId) -> Option<String> {
+        let j = self.jobs.get(&id)?;
+        let steps = j.refs(id).into_iter().filter_map(|r| {
+            let s = j.step(r)?;
+            let task = |(i, t): (u32, &crate::step::TaskState)| {
+                let held = t.at.and_then(|at| self.worker(at).held.get(&r.task(i)));
+                let at = t.at.map(|at| &self.worker(at).listed.id);
+                let phase = held.map(|h| (h.phase, h.run, h.since));
+                format!("{i}: run {} failed {} done {} at {at:?} {phase:?}", t.run, t.failed, t.done)
+            };
+            let tasks: Vec<String> =
+                (0..).zip(&s.tasks).filter(|(_, t)| !t.done).map(task).collect();
+            Some(format!(
+                "step {} open {} reserved {} assembling {} intent {} run {} asking {:?} unsettled {:?} good {:?}: {}",
+                r.step,
+                self.open.contains(&r),
+                self.reserved.contains(&r),
+                self.assembling.contains(&r),
+                s.intent,
+                s.run,
+                s.asking_since,
+                s.unsettled,
+                s.good.as_ref().map(std::collections::HashMap::len),
+                tasks.join(", ")
+            ))
+        });
+        let steps: Vec<String> = steps.collect();
+        let (version, saved, writing) = (j.version, j.saved, j.writing);
+        Some(format!(
+            "outcome {:?}, version {version}, saved {saved}, writing {writing:?}; {}",
+            j.outcome,
+            steps.join("; ")
+        ))
+    }
+
+    /// The open jobs that were accepted first.
+    #[must_use]
+    pub fn oldest(&self) -> Option<JobId> {
+        self.jobs.iter().min_by_key(|(id, j)| (j.accepted, **id)).map(|(id, _)| *id)
+    }
+
     /// How many jobs of a queue wait for their first start.
     #[must_use]
     pub fn waiting(&self, queue: &str) -> u64 {
@@ -132,7 +175,10 @@
         for r in refs {
             self.open.remove(&r);
             self.assembling.remove(&r);
-            self.stop_step(r, out);
+            // Members of a gang that has ended well end by themselves.
+            if state != State::Completed {
+                self.stop_step(r, out);
+            }
             self.reserved.remove(&r);
         }
         self.fleet.forget_job(id);
--- a/crates/catkin-cell/src/cell/looks.rs
+++ b/crates/catkin-cell/src/cell/looks.rs
@@ -169,14 +169,14 @@
             .map_or(u32::MAX, |q| q.max_attempts.max(1));
         let mut failures = 0;
         if let Some(step) = self.step_mut(r) {
-            // Several members of one run of a gang may fail: that is one failure of the gang.
-            let counted = gang && step.failed_run >= run;
-            let index = if gang { 0 } else { task.index as usize };
-            if !counted {
-                step.failed_run = run;
-                step.tasks[index].failed += 1;
+            let t = &mut step.tasks[if gang { 0 } else { task.index as usize }];
+            // Several members of one run of a gang may fail, which is one failure of the gang. An earlier owner may
+            // have counted an end that it could not acknowledge.
+            if t.failed_run < run {
+                t.failed_run = run;
+                t.failed += 1;
             }
-            failures = step.tasks[index].failed;
+            failures = t.failed;
         }
         self.counts.failed += 1;
         let version = self.mark(r.job);
@@ -229,7 +229,7 @@
     fn adopt(&mut self, no: No, r: &Running, now: Duration, out: &mut Vec<Action>) {
         let wanted = self.jobs.get(&r.task.step.job).is_some_and(|j| {
             let t = j.step(r.task.step).and_then(|s| s.tasks.get(r.task.index as usize));
-            j.outcome.is_none() && t.is_some_and(|t| !t.done && t.at.is_none() && r.run >= t.run)
+            j.outcome.is_none() && t.is_some_and(|t| !t.done && t.at.is_none())
         });
         let room = self.jobs.get(&r.task.step.job).and_then(|j| {
             Some(j.job.steps.get(r.task.step.step as usize)?.room())
@@ -252,7 +252,7 @@
                 self.step_mut(r.task.step).and_then(|s| s.tasks.get_mut(r.task.index as usize))
             {
                 t.at = Some(no);
-                t.run = r.run;
+                t.run = t.run.max(r.run);
             }
             self.note_checkpoint(r);
             self.note_begun(r.task.step);
--- a/crates/catkin-cell/src/progress.rs
+++ b/crates/catkin-cell/src/progress.rs
@@ -18,9 +18,9 @@
     /// The tasks that have ended well.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<u32>,
-    /// How often a task has failed: the index and the number. A gang counts under 0.
+    /// The tasks that have failed. A gang counts under 0.
     #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub failed: Vec<(u32, u32)>,
+    pub failed: Vec<Failures>,
     /// No run above this has been ordered.
     #[serde(skip_serializing_if = "is_zero")]
     pub run: u32,
@@ -29,6 +29,17 @@
     pub on: Vec<WorkerId>,
 }
 
+/// How often a task has failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failures {
+    /// The index of the task.
+    pub index: u32,
+    /// How often.
+    pub times: u32,
+    /// The newest run that was counted: a worker may list its end again.
+    pub run: u32,
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde asks for")]
 fn is_zero(x: &u32) -> bool {
     *x == 0
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -1,7 +1,7 @@
 //! A job and its steps as their owner sees them.
 
 use crate::job::{Job, State};
-use crate::progress::{Progress, StepProgress};
+use crate::progress::{Failures, Progress, StepProgress};
 use crate::task::StepRef;
 use crate::worker::{No, Set};
 use catkin_types::WorkerId;
@@ -23,6 +23,8 @@
     /// The highest run that was ordered.
     pub run: u32,
     pub failed: u32,
+    /// The newest run whose failure was counted.
+    pub failed_run: u32,
     pub done: bool,
     /// The newest checkpoint.
     pub checkpoint: Option<String>,
@@ -55,8 +57,6 @@
     pub intent: u64,
     /// Workers on which an earlier owner may have started tasks that nobody has reported yet.
     pub unsettled: Vec<WorkerId>,
-    /// The newest run of a gang whose failure was counted.
-    pub failed_run: u32,
     /// The gang's newest checkpoint.
     pub checkpoint: Option<String>,
     /// When the room was set aside.
@@ -78,9 +78,10 @@
                 t.done = true;
             }
         }
-        for (i, n) in &kept.failed {
-            if let Some(t) = tasks.get_mut(*i as usize) {
-                t.failed = *n;
+        for f in &kept.failed {
+            if let Some(t) = tasks.get_mut(f.index as usize) {
+                t.failed = f.times;
+                t.failed_run = f.run;
             }
         }
         let undone = tasks.iter().filter(|t| !t.done).count();
@@ -97,7 +98,7 @@
         }
         StepProgress {
             done: indexed().filter(|(_, t)| t.done).map(|(i, _)| i).collect(),
-            failed: indexed().filter(|(_, t)| t.failed > 0).map(|(i, t)| (i, t.failed)).collect(),
+            failed: indexed().filter(|(_, t)| t.failed > 0).map(failures).collect(),
             run: self.run,
             on: self.on.clone(),
         }
@@ -112,6 +113,10 @@
     }
 }
 
+fn failures((index, t): (u32, &TaskState)) -> Failures {
+    Failures { index, times: t.failed, run: t.failed_run }
+}
+
 /// A job that is not at its durable end.
 #[derive(Clone, Debug)]
 pub(crate) struct JobState {
--- a/crates/catkin-node/src/lead/mod.rs
+++ b/crates/catkin-node/src/lead/mod.rs
@@ -55,7 +55,8 @@
             known = now_known;
             announce(&cx, &known.lead);
             if !cx.is_draining() && is_free(&cx, &known.lead, heard) {
-                let grace = if heard == Heard::Other { GRACE } else { Duration::ZERO };
+                let busy = heard == Heard::Other && !known.lead.address.is_empty();
+                let grace = if busy { GRACE } else { Duration::ZERO };
                 tokio::time::sleep(grace + jitter()).await;
                 known = take_over(&cx, known).await;
                 announce(&cx, &known.lead);
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -346,6 +346,10 @@
             gangs_given_up = c.gangs_given_up,
             "owner: cell"
         );
+        if let Some(id) = self.cell.oldest() {
+            let why = self.cell.explain(id).unwrap_or_default();
+            tracing::info!(job = catkin_types::id::format_job(id), why, "owner: oldest job");
+        }
     }
 
     fn add(&mut self, id: JobId, job: Job, now: Duration) {
