The lease of a silent worker runs out: no further one is asked for; a simulated world tests the cell

Asked for none while silent.

New: tests/cell has workers with fencing, leases and ends, a table that takes writes of the newest owner only, late, lost and overtaking answers; it checks room, one run at a time, attempts, order, sound ends.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -250,7 +250,6 @@
     fn advice_cost_of(&self, id: JobId) -> Duration {
         self.jobs.get(&id).map_or(Duration::ZERO, |j| self.advice_cost(&j.job.queue))
     }
-
 }
 
 fn fresh_step(step: &Step) -> StepState {
--- a/crates/catkin-cell/src/cell/looks.rs
+++ b/crates/catkin-cell/src/cell/looks.rs
@@ -231,9 +231,10 @@
             let t = j.step(r.task.step).and_then(|s| s.tasks.get(r.task.index as usize));
             j.outcome.is_none() && t.is_some_and(|t| !t.done && t.at.is_none())
         });
-        let room = self.jobs.get(&r.task.step.job).and_then(|j| {
-            Some(j.job.steps.get(r.task.step.step as usize)?.room())
-        });
+        let room = self
+            .jobs
+            .get(&r.task.step.job)
+            .and_then(|j| Some(j.job.steps.get(r.task.step.step as usize)?.room()));
         let w = self.worker_mut(no);
         let born = w.listed.born;
         let held = Held {
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -124,13 +124,7 @@
         set
     }
 
-    fn candidates(
-        &self,
-        r: StepRef,
-        kind: &Step,
-        eligible: &Set,
-        advised: bool,
-    ) -> Vec<Candidate> {
+    fn candidates(&self, r: StepRef, kind: &Step, eligible: &Set, advised: bool) -> Vec<Candidate> {
         let Some(step) = self.step(r) else { return Vec::new() };
         let mut here: BTreeMap<No, u32> = BTreeMap::new();
         if kind.max_per_worker > 0 {
@@ -361,7 +355,16 @@
         held.until_ms = until_ms;
         self.counts.starts += 1;
         let worker = no;
-        out.push(Action::Start(Start { worker, born, task, run, spec, until_ms, ticket, checkpoint }));
+        out.push(Action::Start(Start {
+            worker,
+            born,
+            task,
+            run,
+            spec,
+            until_ms,
+            ticket,
+            checkpoint,
+        }));
     }
 
     /// Gives up room that was set aside for too long.
--- a/crates/catkin-cell/src/cell/save.rs
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -31,7 +31,8 @@
     /// Takes what has to be written of at most `most` jobs for which `mine` holds. One such batch at a time is
     /// under way for the same jobs, until [`Cell::written`] or [`Cell::not_written`].
     pub fn take_writes(&mut self, mine: impl Fn(JobId) -> bool, most: usize) -> Vec<Write> {
-        let ids: Vec<JobId> = self.dirty.iter().copied().filter(|id| mine(*id)).take(most).collect();
+        let ids: Vec<JobId> =
+            self.dirty.iter().copied().filter(|id| mine(*id)).take(most).collect();
         let mut writes = Vec::with_capacity(ids.len());
         for id in ids {
             self.dirty.remove(&id);
@@ -91,8 +92,7 @@
 }
 
 fn acknowledge(w: &mut Worker, jobs: &HashMap<JobId, JobState>) {
-    let durable =
-        |(id, version): (JobId, u64)| jobs.get(&id).is_none_or(|j| j.saved >= version);
+    let durable = |(id, version): (JobId, u64)| jobs.get(&id).is_none_or(|j| j.saved >= version);
     while let Some(end) = w.unacknowledged.front() {
         if !end.needs.is_none_or(durable) {
             break;
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -109,7 +109,9 @@
     pub fn view(&mut self, no: No, now: Duration) -> WorkerView {
         let lease = millis(self.opt.lease);
         let w = self.worker_mut(no);
-        let lease_to_ms = w.clock_about(now).map(|clock| clock + lease);
+        // A silent worker is asked for no further lease, so that the end of the last one comes.
+        let clock = w.clock_about(now).filter(|_| w.misses == 0);
+        let lease_to_ms = clock.map(|clock| clock + lease);
         w.lease_to_ms = w.lease_to_ms.max(lease_to_ms.unwrap_or(0));
         WorkerView {
             id: w.listed.id.clone(),
@@ -169,10 +171,8 @@
             clock.is_some_and(|c| c > w.lease_to_ms + LAPSE_MARGIN_MS)
         };
         let silent = |w: &Worker| w.claimed && w.misses > 0;
-        let lapsed: Vec<No> = self
-            .nos()
-            .filter(|no| silent(self.worker(*no)) && over(self.worker(*no)))
-            .collect();
+        let lapsed: Vec<No> =
+            self.nos().filter(|no| silent(self.worker(*no)) && over(self.worker(*no))).collect();
         for no in lapsed {
             let w = self.worker_mut(no);
             w.claimed = false;
--- /dev/null
+++ b/crates/catkin-cell/tests/cell/worker.rs
@@ -0,0 +1,211 @@
+//! A worker as the users' platform has it: fencing, leases, ends kept until they are acknowledged, gangs.
+
+use catkin_cell::job::Step;
+use catkin_cell::worker::{Ended, How, Listed, Reply, Running, Seen};
+use catkin_cell::{Start, Stop, Task};
+use catkin_types::{Epoch, Resources};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long a worker takes to stop a task.
+const STOPPING: Duration = Duration::from_millis(300);
+
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub run: u32,
+    pub size: Resources,
+    pub ends: Duration,
+    pub how: How,
+    /// Not at work before the other members are there.
+    pub gang: bool,
+}
+
+/// What happened at a worker, for the checks of the world.
+#[derive(Clone, Debug)]
+pub enum Fact {
+    Started(Task, u32),
+    Ended(Task, u32, How),
+    Acknowledged(Task, How),
+}
+
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub listed: Listed,
+    started: Duration,
+    /// By how many thousandths its clock is slow.
+    pub slow_clock: u32,
+    pub up: bool,
+    token: Epoch,
+    pub lease_to_ms: u64,
+    pub running: BTreeMap<Task, Run>,
+    ended: Vec<Ended>,
+    next_end: u64,
+    closed: BTreeMap<Task, u32>,
+}
+
+impl Worker {
+    pub fn new(n: usize, capacity: Resources) -> Self {
+        let listed = Listed {
+            id: format!("w{n}"),
+            addr: format!("10.0.0.{n}:1"),
+            born: 1,
+            service: "s".into(),
+            zone: "z".into(),
+            rack: format!("rack-{}", n / 4),
+            labels: vec!["a".into(), format!("rack-{}", n / 4)],
+            capacity,
+            draining: false,
+        };
+        Self {
+            listed,
+            started: Duration::ZERO,
+            slow_clock: 0,
+            up: true,
+            token: 0,
+            lease_to_ms: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            closed: BTreeMap::new(),
+        }
+    }
+
+    pub fn clock_ms(&self, now: Duration) -> u64 {
+        let passed = now.saturating_sub(self.started);
+        let passed = passed - passed * self.slow_clock / 1_000;
+        u64::try_from(passed.as_millis()).expect("small")
+    }
+
+    pub fn used(&self) -> Resources {
+        self.running.values().fold(Resources::default(), |sum, r| sum.saturating_add(&r.size))
+    }
+
+    /// Ends all and begins a new life.
+    pub fn crash(&mut self, now: Duration) {
+        let born = self.listed.born + 1;
+        let capacity = self.listed.capacity;
+        let n: usize = self.listed.id[1..].parse().expect("a number");
+        *self = Self::new(n, capacity);
+        self.listed.born = born;
+        self.started = now;
+    }
+
+    fn end(&mut self, task: Task, how: How, facts: &mut Vec<Fact>) {
+        let Some(r) = self.running.remove(&task) else { return };
+        facts.push(Fact::Ended(task, r.run, how));
+        self.closed.insert(task, r.run);
+        let number = self.next_end;
+        self.next_end += 1;
+        self.ended.push(Ended { number, task, run: r.run, how, checkpoint: String::new() });
+    }
+
+    /// Lets time go by: tasks end, leases run out.
+    pub fn advance(&mut self, now: Duration, facts: &mut Vec<Fact>) {
+        let lapsed = self.clock_ms(now) > self.lease_to_ms;
+        let over: Vec<(Task, How)> = self
+            .running
+            .iter()
+            .filter(|(_, r)| lapsed || r.ends <= now)
+            .map(|(t, r)| (*t, if r.ends <= now { r.how } else { How::Lapsed }))
+            .collect();
+        over.into_iter().for_each(|(t, how)| self.end(t, how, facts));
+    }
+
+    pub fn break_gang(&mut self, task: Task, run: u32, how: How, facts: &mut Vec<Fact>) {
+        if self.running.get(&task).is_some_and(|r| r.run == run) {
+            self.end(task, how, facts);
+        }
+    }
+
+    fn fence(&mut self, epoch: Epoch) -> bool {
+        if epoch < self.token {
+            return false;
+        }
+        self.token = epoch;
+        true
+    }
+
+    pub fn start(
+        &mut self,
+        s: &Start,
+        epoch: Epoch,
+        step: &Step,
+        run: Run,
+        now: Duration,
+        facts: &mut Vec<Fact>,
+    ) -> Reply {
+        if s.born != self.listed.born {
+            return Reply::OtherLife;
+        }
+        if !self.fence(epoch) {
+            return Reply::Fenced;
+        }
+        if s.until_ms <= self.clock_ms(now) {
+            return Reply::Late;
+        }
+        self.lease_to_ms = self.lease_to_ms.max(s.until_ms);
+        if self.running.get(&s.task).is_some_and(|r| r.run == s.run) {
+            return Reply::Done;
+        }
+        if self.running.contains_key(&s.task)
+            || self.closed.get(&s.task).is_some_and(|r| s.run <= *r)
+        {
+            return Reply::Old;
+        }
+        self.running.insert(s.task, Run { size: step.size, ..run });
+        facts.push(Fact::Started(s.task, s.run));
+        Reply::Done
+    }
+
+    pub fn stop(&mut self, s: &Stop, epoch: Epoch, now: Duration) -> Reply {
+        if s.born != self.listed.born {
+            return Reply::OtherLife;
+        }
+        if !self.fence(epoch) {
+            return Reply::Fenced;
+        }
+        match self.running.get_mut(&s.task) {
+            Some(r) if r.run == s.run => {
+                if r.ends > now + STOPPING {
+                    r.ends = now + STOPPING;
+                    r.how = How::Stopped;
+                }
+            }
+            _ => {
+                let closed = self.closed.entry(s.task).or_default();
+                *closed = (*closed).max(s.run);
+            }
+        }
+        Reply::Done
+    }
+
+    pub fn look(
+        &mut self,
+        epoch: Epoch,
+        lease_to_ms: Option<u64>,
+        acknowledged: u64,
+        now: Duration,
+        facts: &mut Vec<Fact>,
+    ) -> Result<Seen, Reply> {
+        if !self.fence(epoch) {
+            return Err(Reply::Fenced);
+        }
+        self.lease_to_ms = self.lease_to_ms.max(lease_to_ms.unwrap_or(0));
+        for e in self.ended.iter().filter(|e| e.number <= acknowledged) {
+            facts.push(Fact::Acknowledged(e.task, e.how));
+        }
+        self.ended.retain(|e| e.number > acknowledged);
+        let running = self.running.iter().map(|(task, r)| Running {
+            task: *task,
+            run: r.run,
+            checkpoint: String::new(),
+            percent: 0.0,
+        });
+        Ok(Seen {
+            clock_ms: self.clock_ms(now),
+            born: self.listed.born,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/catkin-cell/tests/cell/world.rs
@@ -0,0 +1,584 @@
+//! Owners, workers and the table in one simulated world, in which answers are late, lost and overtake each other.
+//!
+//! Checks at each start what has to hold: room, one run of a task at a time, none after its end, no more than the
+//! allowed failures, steps in their order.
+
+use crate::worker::{Fact, Run, Worker};
+use catkin_cell::action::Loaded;
+use catkin_cell::cell::Advised;
+use catkin_cell::job::{Job, State, Step};
+use catkin_cell::queue::{Advice, Queue};
+use catkin_cell::worker::{How, No, Reply, Seen};
+use catkin_cell::{Action, Ask, Cell, Options, Progress, Start, Stop, Task, Write};
+use catkin_types::{Epoch, JobId, Resources};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+pub const TICK: Duration = Duration::from_millis(10);
+pub const ATTEMPTS: u32 = 3;
+
+/// Which troubles there are, each as a chance in a thousand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    /// An order's answer is lost.
+    pub answer_lost: u32,
+    /// An order gets no answer and is carried out seconds later.
+    pub late: u32,
+    /// The owner dies, each second.
+    pub owner_dies: u32,
+    /// The new owner finds the old one still at work.
+    pub owner_lives_on: u32,
+    /// A worker crashes, each second.
+    pub crash: u32,
+    /// A worker is cut off for seconds, each second.
+    pub cut: u32,
+    /// A task fails.
+    pub fails: u32,
+    /// By how many thousandths the workers' clocks are slow.
+    pub slow_clocks: u32,
+    /// How many times as long tasks take as they say.
+    pub longer: u32,
+}
+
+enum Event {
+    StartAt(Start, Epoch, bool),
+    StopAt(Stop, Epoch, bool),
+    LookAt(No, Epoch, Duration, Option<u64>, u64),
+    Started(Start, Epoch, Reply),
+    Stopped(Stop, Epoch, Reply),
+    Seen(No, Epoch, Duration, Option<Result<Seen, Reply>>),
+    Advised(Ask, Epoch, bool),
+    Written(Epoch, Vec<Write>),
+}
+
+struct Owner {
+    cell: Cell,
+    epoch: Epoch,
+    /// Whether a batch is on its way to the table.
+    writing: bool,
+    looks: HashMap<No, (bool, Duration)>,
+    dies: Option<Duration>,
+}
+
+pub struct World {
+    rng: u64,
+    pub now: Duration,
+    pub trouble: Trouble,
+    pub workers: Vec<Worker>,
+    cut_until: Vec<Duration>,
+    owners: Vec<Owner>,
+    epoch: Epoch,
+    events: BTreeMap<(Duration, u64), Event>,
+    seq: u64,
+    queue: Queue,
+    // The table.
+    jobs: HashMap<JobId, Job>,
+    progress: HashMap<JobId, Progress>,
+    pub ended: HashMap<JobId, State>,
+    // What is known to whoever judges.
+    specs: HashMap<JobId, Job>,
+    done: HashSet<Task>,
+    failed: HashMap<Task, u32>,
+    acknowledged_done: HashSet<Task>,
+    cancelled: HashSet<JobId>,
+    pub starts: u64,
+    pub broken: Vec<String>,
+}
+
+impl World {
+    pub fn new(seed: u64, workers: usize, advised: bool) -> Self {
+        let capacity = Resources::new(4_000, 4_000, 0);
+        let advice = advised.then_some(Advice {
+            call: Duration::from_millis(20),
+            per_worker: Duration::from_millis(1),
+            valid: Duration::from_millis(1_500),
+        });
+        let queue = Queue {
+            service: "s".into(),
+            priority: 0,
+            max_attempts: ATTEMPTS,
+            stretch: 2.0,
+            objective: Duration::from_secs(2),
+            advice,
+        };
+        Self {
+            rng: seed | 1,
+            now: Duration::from_secs(1),
+            trouble: Trouble::default(),
+            workers: (0..workers).map(|n| Worker::new(n, capacity)).collect(),
+            cut_until: vec![Duration::ZERO; workers],
+            owners: Vec::new(),
+            epoch: 0,
+            events: BTreeMap::new(),
+            seq: 0,
+            queue,
+            jobs: HashMap::new(),
+            progress: HashMap::new(),
+            ended: HashMap::new(),
+            specs: HashMap::new(),
+            done: HashSet::new(),
+            failed: HashMap::new(),
+            acknowledged_done: HashSet::new(),
+            cancelled: HashSet::new(),
+            starts: 0,
+            broken: Vec::new(),
+        }
+    }
+
+    pub fn random(&mut self) -> u64 {
+        self.rng ^= self.rng << 13;
+        self.rng ^= self.rng >> 7;
+        self.rng ^= self.rng << 17;
+        self.rng
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        self.random() % 1_000 < u64::from(per_mille)
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_millis(1 + self.random() % 40)
+    }
+
+    fn at(&mut self, when: Duration, event: Event) {
+        self.seq += 1;
+        self.events.insert((when, self.seq), event);
+    }
+
+    pub fn accept(&mut self, id: JobId, steps: Vec<Step>) {
+        let job = Job {
+            queue: "q".into(),
+            service: "s".into(),
+            spec: "x".into(),
+            steps,
+            ..Job::default()
+        };
+        self.jobs.insert(id, job.clone());
+        self.specs.insert(id, job.clone());
+        let now = self.now;
+        if let Some(o) = self.owners.last_mut() {
+            o.cell.add(id, Loaded { job, ..Loaded::default() }, Duration::ZERO, now);
+        }
+    }
+
+    pub fn cancel(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.cancelled = true;
+            self.cancelled.insert(id);
+            let mut out = Vec::new();
+            if let Some(o) = self.owners.last_mut() {
+                o.cell.cancel(id, &mut out);
+            }
+            let epoch = self.epoch;
+            self.act(epoch, out);
+        }
+    }
+
+    /// A new owner takes over. The one before dies at `dies`, or goes on until it is told.
+    pub fn take_over(&mut self, dies: Option<Duration>) {
+        if let Some(o) = self.owners.last_mut() {
+            o.dies = dies;
+        }
+        self.epoch += 1;
+        let opt = Options { autonomy: Duration::from_secs(2), ..Options::default() };
+        let mut cell = Cell::new(opt, self.epoch, self.now);
+        cell.configure([("q".to_owned(), self.queue.clone())]);
+        for (id, job) in &self.jobs {
+            let progress = self.progress.get(id).cloned().unwrap_or_default();
+            let loaded = Loaded { job: job.clone(), progress };
+            cell.add(*id, loaded, Duration::ZERO, self.now);
+        }
+        cell.list(self.workers.iter().map(|w| w.listed.clone()).collect(), false, self.now);
+        self.owners.push(Owner {
+            cell,
+            epoch: self.epoch,
+            writing: false,
+            looks: HashMap::new(),
+            dies: None,
+        });
+    }
+
+    /// Runs until `end` or until every job is at its end.
+    pub fn run(&mut self, end: Duration) {
+        while self.now < end && self.broken.is_empty() && !self.all_ended() {
+            self.turn();
+        }
+    }
+
+    /// Lets one tick go by.
+    pub fn turn(&mut self) {
+        self.now += TICK;
+        self.disturb();
+        self.advance_workers();
+        while let Some(((when, _), _)) = self.events.first_key_value() {
+            if *when > self.now {
+                break;
+            }
+            if let Some((_, event)) = self.events.pop_first() {
+                self.handle(event);
+            }
+        }
+        self.tick_owners();
+    }
+
+    pub fn all_ended(&self) -> bool {
+        self.specs.keys().all(|id| self.ended.contains_key(id))
+    }
+
+    /// The worker is reached by nobody any more.
+    pub fn silence(&mut self, n: usize) {
+        self.workers[n].up = false;
+    }
+
+    /// What is left and why.
+    pub fn explain(&self) -> String {
+        let Some(o) = self.owners.last() else { return "no owner".into() };
+        let open = self.specs.keys().filter(|id| !self.ended.contains_key(id));
+        let why = open.map(|id| format!("{id}: {:?}", o.cell.explain(*id)));
+        why.collect::<Vec<_>>().join("\n")
+    }
+
+    fn disturb(&mut self) {
+        if self.now.as_millis() % 1_000 != 0 {
+            return;
+        }
+        let t = self.trouble;
+        if self.chance(t.owner_dies) {
+            let lives_on = self.chance(t.owner_lives_on);
+            let dies = if lives_on { self.now + Duration::from_secs(2) } else { self.now };
+            self.take_over(Some(dies));
+        }
+        for n in 0..self.workers.len() {
+            if self.chance(t.crash) {
+                self.workers[n].crash(self.now);
+            }
+            if self.chance(t.cut) {
+                let long = Duration::from_millis(500 + self.random() % 9_000);
+                self.cut_until[n] = self.now + long;
+            }
+        }
+        let listed: Vec<_> = self.workers.iter().map(|w| w.listed.clone()).collect();
+        for o in &mut self.owners {
+            o.cell.list(listed.clone(), false, self.now);
+        }
+    }
+
+    fn advance_workers(&mut self) {
+        for n in 0..self.workers.len() {
+            let mut facts = Vec::new();
+            self.workers[n].slow_clock = self.trouble.slow_clocks;
+            self.workers[n].advance(self.now, &mut facts);
+            self.note(n, facts);
+        }
+    }
+
+    fn note(&mut self, n: usize, facts: Vec<Fact>) {
+        for fact in facts {
+            match fact {
+                Fact::Started(task, run) => self.check_start(n, task, run),
+                Fact::Ended(task, run, how) => self.check_end(task, run, how),
+                Fact::Acknowledged(task, How::Done) => {
+                    self.acknowledged_done.insert(task);
+                }
+                Fact::Acknowledged(..) => {}
+            }
+        }
+    }
+
+    fn gang_of(&self, task: Task) -> bool {
+        self.specs[&task.step.job].steps[task.step.step as usize].gang
+    }
+
+    fn check_start(&mut self, n: usize, task: Task, run: u32) {
+        self.starts += 1;
+        let mut wrong = Vec::new();
+        let w = &self.workers[n];
+        if !w.used().fits(&w.listed.capacity) {
+            wrong.push(format!("{} holds {}", w.listed.id, w.used()));
+        }
+        let elsewhere =
+            self.workers.iter().enumerate().any(|(m, w)| m != n && w.running.contains_key(&task));
+        if elsewhere {
+            wrong.push(format!("{task:?} runs twice"));
+        }
+        if self.done.contains(&task) && self.acknowledged_done.contains(&task) {
+            wrong.push(format!("{task:?} starts after it is done"));
+        }
+        if self.failed.get(&task).copied().unwrap_or(0) >= ATTEMPTS {
+            wrong.push(format!("{task:?} starts after {ATTEMPTS} failures"));
+        }
+        let job = &self.specs[&task.step.job];
+        for before in &job.steps[task.step.step as usize].after {
+            let r = catkin_cell::StepRef { step: *before, ..task.step };
+            let all =
+                (0..job.steps[*before as usize].count).all(|i| self.done.contains(&r.task(i)));
+            if !all {
+                wrong.push(format!("{task:?} starts before step {before} has ended"));
+            }
+        }
+        let at = self.now;
+        self.broken.extend(wrong.into_iter().map(|w| format!("{at:?}: {w}, run {run}")));
+    }
+
+    fn check_end(&mut self, task: Task, run: u32, how: How) {
+        let gang = self.gang_of(task);
+        match how {
+            How::Done if gang => {
+                let count = self.specs[&task.step.job].steps[task.step.step as usize].count;
+                self.done.extend((0..count).map(|i| task.step.task(i)));
+            }
+            How::Done => {
+                self.done.insert(task);
+            }
+            How::Failed => *self.failed.entry(task).or_default() += 1,
+            _ => {}
+        }
+        if gang {
+            let others = if how == How::Done { How::Done } else { How::Broken };
+            for n in 0..self.workers.len() {
+                let members: Vec<Task> = self.workers[n]
+                    .running
+                    .keys()
+                    .filter(|t| t.step == task.step)
+                    .copied()
+                    .collect();
+                let mut facts = Vec::new();
+                for t in members {
+                    self.workers[n].break_gang(t, run, others, &mut facts);
+                }
+                // Their ends are those of the gang: nothing further follows from them.
+                self.note(n, facts.into_iter().filter(|f| !matches!(f, Fact::Ended(..))).collect());
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::StartAt(s, epoch, answered) => {
+                let (n, cut) = self.reach(s.worker);
+                if cut {
+                    if answered {
+                        let when = now + Duration::from_millis(600);
+                        self.at(when, Event::Started(s, epoch, Reply::Unknown));
+                    }
+                    return;
+                }
+                let step = self.specs[&s.task.step.job].steps[s.task.step.step as usize].clone();
+                let ms = step.estimate_ms / 2 + self.random() % step.estimate_ms.max(1);
+                let ms = ms * u64::from(self.trouble.longer.max(1));
+                let how = if self.chance(self.trouble.fails) { How::Failed } else { How::Done };
+                let run = Run {
+                    run: s.run,
+                    size: step.size,
+                    ends: now + Duration::from_millis(ms),
+                    how,
+                    gang: step.gang,
+                };
+                let mut facts = Vec::new();
+                let reply = self.workers[n].start(&s, epoch, &step, run, now, &mut facts);
+                self.note(n, facts);
+                if answered {
+                    let when = now + self.delay();
+                    self.at(when, Event::Started(s, epoch, reply));
+                }
+            }
+            Event::StopAt(s, epoch, answered) => {
+                let (n, cut) = self.reach(s.worker);
+                if cut {
+                    if answered {
+                        let when = now + Duration::from_millis(600);
+                        self.at(when, Event::Stopped(s, epoch, Reply::Unknown));
+                    }
+                    return;
+                }
+                let reply = self.workers[n].stop(&s, epoch, now);
+                if answered {
+                    let when = now + self.delay();
+                    self.at(when, Event::Stopped(s, epoch, reply));
+                }
+            }
+            Event::LookAt(no, epoch, sent, lease, acknowledged) => {
+                let (n, cut) = self.reach(no);
+                if cut {
+                    let when = now + Duration::from_millis(700);
+                    self.at(when, Event::Seen(no, epoch, sent, None));
+                    return;
+                }
+                let mut facts = Vec::new();
+                let seen = self.workers[n].look(epoch, lease, acknowledged, now, &mut facts);
+                self.note(n, facts);
+                let when = now + self.delay();
+                self.at(when, Event::Seen(no, epoch, sent, Some(seen)));
+            }
+            Event::Started(s, epoch, reply) => {
+                self.with(epoch, |o, out| o.cell.started(&s, reply, now, out));
+            }
+            Event::Stopped(s, epoch, reply) => {
+                self.with(epoch, |o, out| o.cell.stopped(&s, reply, now, out));
+            }
+            Event::Seen(no, epoch, sent, seen) => self.with(epoch, |o, out| {
+                o.looks.insert(no, (false, now));
+                match seen {
+                    Some(Ok(seen)) => o.cell.seen(no, sent, &seen, now, out),
+                    Some(Err(_)) => out.push(Action::Deposed),
+                    None => o.cell.not_seen(no),
+                }
+            }),
+            Event::Advised(ask, epoch, well) => self.with(epoch, |o, _| {
+                let good = ask.workers.iter().map(|w| (w.clone(), "t".to_owned())).collect();
+                let advised = if well { Advised::Good(good) } else { Advised::Nothing };
+                o.cell.advised(&ask, advised, now, now);
+            }),
+            Event::Written(epoch, batch) => self.write(epoch, batch),
+        }
+    }
+
+    /// The table takes writes of the newest owner only.
+    fn write(&mut self, epoch: Epoch, batch: Vec<Write>) {
+        let now = self.now;
+        if epoch == self.epoch {
+            for w in &batch {
+                match w {
+                    Write::Progress(id, p) => {
+                        self.progress.insert(*id, p.clone());
+                    }
+                    Write::Ended(id, state) => self.end_job(*id, *state),
+                }
+            }
+        }
+        let newest = self.epoch;
+        self.with(epoch, |o, out| {
+            o.writing = false;
+            if epoch == newest {
+                o.cell.written(&batch, now);
+            } else {
+                out.push(Action::Deposed);
+            }
+        });
+    }
+
+    fn end_job(&mut self, id: JobId, state: State) {
+        self.jobs.remove(&id);
+        self.progress.remove(&id);
+        self.ended.insert(id, state);
+        let job = &self.specs[&id];
+        let tasks: Vec<Task> = (0u32..)
+            .zip(&job.steps)
+            .flat_map(|(step, s)| {
+                let r = catkin_cell::StepRef { job: id, occurrence: 0, step };
+                (0..s.count).map(move |i| r.task(i))
+            })
+            .collect();
+        let failures = tasks.iter().filter_map(|t| self.failed.get(t)).max().copied();
+        let sound = match state {
+            State::Completed => tasks.iter().all(|t| self.done.contains(t)),
+            State::Failed => {
+                failures.unwrap_or(0) >= ATTEMPTS || tasks.iter().any(|t| self.gang_of(*t))
+            }
+            State::Cancelled => self.cancelled.contains(&id),
+            State::Queued | State::Running => false,
+        };
+        if !sound {
+            let at = self.now;
+            self.broken.push(format!("{at:?}: job {id} is said to be {state}"));
+        }
+    }
+
+    fn reach(&self, no: No) -> (usize, bool) {
+        // Workers are listed in their order, so that their numbers are those of the list.
+        let n: usize = no.to_string().parse().expect("a number");
+        (n, !self.workers[n].up || self.cut_until[n] > self.now)
+    }
+
+    fn with(&mut self, epoch: Epoch, f: impl FnOnce(&mut Owner, &mut Vec<Action>)) {
+        let mut out = Vec::new();
+        if let Some(o) = self.owners.iter_mut().find(|o| o.epoch == epoch) {
+            f(o, &mut out);
+        }
+        self.act(epoch, out);
+    }
+
+    fn act(&mut self, epoch: Epoch, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(s) => self.send_start(s, epoch),
+                Action::Stop(s) => self.send_stop(s, epoch),
+                Action::Ask(ask) => {
+                    let well = !self.chance(self.trouble.answer_lost);
+                    let when = self.now + ask.cost + self.delay();
+                    self.at(when, Event::Advised(ask, epoch, well));
+                }
+                Action::Look(no) => self.send_look(no, epoch),
+                Action::Deposed => self.owners.retain(|o| o.epoch != epoch),
+            }
+        }
+    }
+
+    /// When an order arrives, and whether it is answered.
+    fn way(&mut self) -> (Duration, bool) {
+        if self.chance(self.trouble.late) {
+            let late = Duration::from_millis(700 + self.random() % 5_000);
+            return (self.now + late, false);
+        }
+        let lost = self.chance(self.trouble.answer_lost);
+        (self.now + self.delay(), !lost)
+    }
+
+    fn send_start(&mut self, s: Start, epoch: Epoch) {
+        let (when, answered) = self.way();
+        let (_, cut) = self.reach(s.worker);
+        if !answered || cut {
+            let at = self.now + Duration::from_millis(600);
+            self.at(at, Event::Started(s.clone(), epoch, Reply::Unknown));
+        }
+        self.at(when, Event::StartAt(s, epoch, answered && !cut));
+    }
+
+    fn send_stop(&mut self, s: Stop, epoch: Epoch) {
+        let (when, answered) = self.way();
+        let (_, cut) = self.reach(s.worker);
+        if !answered || cut {
+            let at = self.now + Duration::from_millis(600);
+            self.at(at, Event::Stopped(s.clone(), epoch, Reply::Unknown));
+        }
+        self.at(when, Event::StopAt(s, epoch, answered && !cut));
+    }
+
+    fn send_look(&mut self, no: No, epoch: Epoch) {
+        let now = self.now;
+        let Some(o) = self.owners.iter_mut().find(|o| o.epoch == epoch) else { return };
+        let view = o.cell.view(no, now);
+        let when = now + self.delay();
+        self.at(when, Event::LookAt(no, epoch, now, view.lease_to_ms, view.acknowledged));
+    }
+
+    fn tick_owners(&mut self) {
+        let now = self.now;
+        self.owners.retain(|o| o.dies.is_none_or(|at| at > now));
+        let epochs: Vec<Epoch> = self.owners.iter().map(|o| o.epoch).collect();
+        for epoch in epochs {
+            let mut due: BTreeSet<No> = BTreeSet::new();
+            let mut batch = Vec::new();
+            self.with(epoch, |o, out| {
+                o.cell.tick(now, out);
+                for no in o.cell.nos() {
+                    let (waiting, last) = o.looks.get(&no).copied().unwrap_or_default();
+                    if !waiting && now >= last + Duration::from_millis(50) {
+                        o.looks.insert(no, (true, now));
+                        due.insert(no);
+                    }
+                }
+                if !o.writing {
+                    batch = o.cell.take_writes(|_| true, 30);
+                    o.writing = !batch.is_empty();
+                }
+            });
+            due.into_iter().for_each(|no| self.send_look(no, epoch));
+            if !batch.is_empty() {
+                let when = now + self.delay();
+                self.at(when, Event::Written(epoch, batch));
+            }
+        }
+    }
+}
--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -52,21 +52,23 @@
         match cx.table.commit(&changes, left).await {
             Ok(Outcome::Done { .. }) => {
                 tracing::info!(job = format_job(id), queue = job.queue, "gate: accepted");
-                tell(cx, Request::Offer {
-                    shard: String::new(),
-                    job: id,
-                    body: table::to_json(&job),
-                });
+                tell(
+                    cx,
+                    Request::Offer { shard: String::new(), job: id, body: table::to_json(&job) },
+                );
                 return body::text(200, "accepted\n");
             }
             Ok(Outcome::Conflict(_)) => {
                 if lost {
                     // An earlier try was carried out, or another daemon accepted the job.
-                    tell(cx, Request::Offer {
-                        shard: String::new(),
-                        job: id,
-                        body: table::to_json(&job),
-                    });
+                    tell(
+                        cx,
+                        Request::Offer {
+                            shard: String::new(),
+                            job: id,
+                            body: table::to_json(&job),
+                        },
+                    );
                 }
                 tracing::info!(job = format_job(id), "gate: accepted before");
                 return body::text(200, "accepted before\n");
@@ -161,7 +163,9 @@
             .ok_or_else(|| Error::Malformed(format!("the row of job {}", row.key)))?;
         return Ok(Stored::Open { job, version: row.version });
     }
-    let Some(row) = cx.table.read_one(&job_key(ENDED, id), patience).await? else { return Ok(Stored::Never) };
+    let Some(row) = cx.table.read_one(&job_key(ENDED, id), patience).await? else {
+        return Ok(Stored::Never);
+    };
     let end: End =
         table::read(&row).ok_or_else(|| Error::Malformed(format!("the end of job {}", row.key)))?;
     Ok(Stored::Ended(end.state))
--- a/crates/catkin-node/src/node.rs
+++ b/crates/catkin-node/src/node.rs
@@ -63,7 +63,8 @@
         cx.spawn(watch::run(Arc::clone(&cx), config_tx));
         cx.spawn(peers::run(Arc::clone(&cx), calls_rx));
         cx.spawn(lead::run(Arc::clone(&cx)));
-        let node = Self { cx, peering, servers: TaskTracker::new(), close: CancellationToken::new() };
+        let node =
+            Self { cx, peering, servers: TaskTracker::new(), close: CancellationToken::new() };
         node.serve(clients, ready);
         tracing::info!(
             daemon = node.cx.cfg.daemon.id,
--- a/crates/catkin-schema/tests/schema/peer.rs
+++ b/crates/catkin-schema/tests/schema/peer.rs
@@ -2,7 +2,9 @@
 
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
-use catkin_schema::peer::{Acquire, Advise, Aggregate, Beat, Permit, Refused, Release, Request, Response};
+use catkin_schema::peer::{
+    Acquire, Advise, Aggregate, Beat, Permit, Refused, Release, Request, Response,
+};
 use catkin_schema::peer_capnp::{request, response};
 use catkin_types::Resources;
 use std::time::Duration;
