The owner is near the table, takes over sooner; urgent work first and with room kept; late work by size

Cause: quotes lose their second of slack to the table (60 ms a call from afar, two calls before a start), to a full fleet, and to late jobs that were put first because their time was up. Daemons wait for closer ones before they take over; an owner that can't write says so after 0.7 s; urgent steps come first among those that can be in time, then late ones by size; other work leaves room for one urgent task on each worker.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -8,9 +8,11 @@
 use crate::step::{JobState, StepState};
 use crate::task::{StepRef, Task};
 use crate::worker::Phase;
-use catkin_types::JobId;
+use catkin_types::{JobId, Resources};
 use std::time::Duration;
 
+/// The size of urgent tasks is that of about so many recent ones.
+const SIZE_MEMORY: u64 = 16;
 /// How many workers the call for advice of each step is reckoned for in the objective of a job.
 const OBJECTIVE_WORKERS: usize = 30;
 
@@ -38,6 +40,7 @@
         };
         let cost = self.advice_cost(&state.job.queue);
         set_tails(&mut state, cost);
+        self.note_size(&state.job);
         let refs = state.refs(id);
         let cancelled = state.job.cancelled;
         let all_done = state.steps.iter().all(|s| s.undone == 0) && !state.steps.is_empty();
@@ -51,6 +54,15 @@
         }
     }
 
+    /// Learns how large urgent tasks are.
+    fn note_size(&mut self, job: &Job) {
+        let urgent = self.queues.get(&job.queue).is_some_and(|q| q.priority == 0);
+        let Some(size) = job.steps.first().map(Step::room).filter(|_| urgent) else { return };
+        let (old, new) = (self.urgent_size.as_array(), size.as_array());
+        let mean = |i: usize| (old[i] * (SIZE_MEMORY - 1) + new[i]) / SIZE_MEMORY;
+        self.urgent_size = Resources::from_array([mean(0), mean(1), mean(2)]);
+    }
+
     /// A caller has cancelled the job, and that is durable.
     pub fn cancel(&mut self, id: JobId, out: &mut Vec<Action>) {
         if let Some(j) = self.jobs.get_mut(&id) {
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -20,7 +20,7 @@
 use crate::task::{StepRef, Task};
 use crate::worker::{No, Worker};
 use catkin_place::health::{self, Fleet};
-use catkin_types::{Epoch, JobId, WorkerId};
+use catkin_types::{Epoch, JobId, Resources, WorkerId};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
@@ -99,6 +99,8 @@
     /// Workers that answered in this term.
     settled: HashSet<WorkerId>,
     fleet: Fleet,
+    /// The size of recent urgent tasks.
+    urgent_size: Resources,
     counts: Counts,
 }
 
@@ -162,6 +164,7 @@
             dirty: BTreeSet::new(),
             settled: HashSet::new(),
             fleet,
+            urgent_size: Resources::default(),
             counts: Counts::default(),
         }
     }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -62,8 +62,8 @@
         let eligible = self.eligible(r, kind, open, now);
         let advised = self.queue_advice(r);
         if advised && !step.asked.covers(&eligible) {
-            let fresh: Vec<No> = eligible.iter().filter(|no| !step.asked.contains(*no)).collect();
             let known = step.good.is_some();
+            let fresh: Vec<No> = eligible.iter().filter(|no| !step.asked.contains(*no)).collect();
             self.ask(r, fresh, now, out);
             if !known {
                 return;
@@ -134,9 +134,10 @@
         }
         let cap = if kind.max_per_worker > 0 { kind.max_per_worker } else { u32::MAX };
         let room = kind.room();
+        let kept = self.kept_free(r, kind);
         let candidate = |no: No| {
             let most = cap.saturating_sub(here.get(&no).copied().unwrap_or(0));
-            let free = self.worker(no).free();
+            let free = self.worker(no).free().saturating_sub(&kept);
             (most > 0 && room.fits(&free)).then_some(Candidate { no, free, most })
         };
         match (&step.good, advised) {
@@ -151,6 +152,13 @@
         }
     }
 
+    /// What a task of the step leaves free on each worker for urgent work to come.
+    fn kept_free(&self, r: StepRef, kind: &Step) -> Resources {
+        let queue = self.jobs.get(&r.job).and_then(|j| self.queues.get(&j.job.queue));
+        let urgent = queue.is_none_or(|q| q.priority == 0);
+        if urgent || kind.gang { Resources::default() } else { self.urgent_size }
+    }
+
     fn is_far(&self, kind: &Step, no: No) -> bool {
         kind.near.as_ref().is_some_and(|rack| *rack != self.worker(no).listed.rack)
     }
--- a/crates/catkin-cell/src/cell/rank.rs
+++ b/crates/catkin-cell/src/cell/rank.rs
@@ -5,11 +5,28 @@
 use std::cmp::Ordering;
 use std::time::Duration;
 
+/// What a job can still earn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Chance {
+    /// It can end in time.
+    InTime,
+    /// It can't, but its end still counts.
+    Late,
+    /// Its end no longer counts.
+    None,
+}
+
+/// The end of a job counts for something until this many times its objective.
+const LATE_FACTOR: u32 = 3;
+
 /// The place of a step among those that wait. The least comes first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Rank {
-    /// Whether the job can't end in time any more.
-    late: bool,
+    chance: Chance,
+    /// Whether others may be put behind it.
+    urgency: u32,
+    /// What the rest of a late job takes; nothing for one that can end in time.
+    work: u64,
     /// When the step has to start for the job to end in time.
     latest: Duration,
 }
@@ -24,17 +41,31 @@
 
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
-        self.late.cmp(&other.late).then(self.latest.cmp(&other.latest))
+        let key = |r: &Self| (r.chance, r.urgency, r.work, r.latest);
+        key(self).cmp(&key(other))
     }
 }
 
 impl Cell {
     pub(super) fn rank(&self, r: StepRef, now: Duration) -> Rank {
-        let Some(j) = self.jobs.get(&r.job) else {
-            return Rank { late: true, latest: Duration::MAX };
+        let last = Rank { chance: Chance::None, urgency: 0, work: 0, latest: Duration::MAX };
+        let Some(j) = self.jobs.get(&r.job) else { return last };
+        let Some(step) = j.step(r) else { return last };
+        let latest = j.due.saturating_sub(step.tail);
+        let objective = j.due.saturating_sub(j.accepted);
+        let chance = if now <= latest {
+            Chance::InTime
+        } else if now + step.tail <= j.accepted + objective * LATE_FACTOR {
+            Chance::Late
+        } else {
+            Chance::None
         };
-        let tail = j.step(r).map_or(Duration::ZERO, |s| s.tail);
-        let latest = j.due.saturating_sub(tail);
-        Rank { late: latest < now, latest }
+        let kind = j.job.steps.get(r.step as usize);
+        let work = kind.map_or(0, |k| k.size.cpu_milli * k.estimate_ms * step.undone as u64);
+        let urgent = self.queues.get(&j.job.queue).is_some_and(|q| q.priority == 0);
+        match chance {
+            Chance::InTime => Rank { chance, urgency: u32::from(!urgent), work: 0, latest },
+            Chance::Late | Chance::None => Rank { chance, urgency: 0, work, latest },
+        }
     }
 }
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -11,7 +11,7 @@
 use catkin_types::Epoch;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -54,8 +54,8 @@
     pub tasks: TaskTracker,
     /// The daemon stops.
     pub stop: CancellationToken,
-    /// Whether the daemon is about to stop.
-    pub draining: AtomicBool,
+    /// The daemon is about to stop.
+    pub drain: CancellationToken,
     started: Instant,
 }
 
@@ -81,7 +81,7 @@
             leads: AtomicU64::new(0),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
-            draining: AtomicBool::new(false),
+            drain: CancellationToken::new(),
             started: Instant::now(),
         }
     }
@@ -95,7 +95,7 @@
     /// Whether the daemon is about to stop.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.drain.is_cancelled()
     }
 
     /// Where this daemon takes calls of others.
--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -14,7 +14,6 @@
 use hyper::{Method, Request, Response};
 use route::{Found, find};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// How long a client waits that does not say.
@@ -23,8 +22,9 @@
 const WAY_BACK: Duration = Duration::from_millis(150);
 /// When a client that was refused is to come again, in seconds.
 const RETRY_AFTER_S: &str = "1";
-/// How long the table service may be silent before this daemon takes no new connections.
-const SILENCE: Duration = Duration::from_secs(3);
+/// How long the table service may do nothing for this daemon before it takes no new connections. The configuration is
+/// asked for each second and a half.
+const SILENCE: Duration = Duration::from_secs(2);
 
 /// Answers a request of a client.
 pub async fn answer(cx: Arc<Cx>, req: Request<Incoming>) -> Response<Body> {
@@ -105,6 +105,6 @@
         return body::text(404, "nothing here\n");
     }
     let configured = cx.config.borrow().is_some();
-    let well = configured && cx.table.unserved() < SILENCE && !cx.draining.load(Ordering::Relaxed);
+    let well = configured && cx.table.unserved() < SILENCE && !cx.is_draining();
     if well { body::text(200, "ready\n") } else { body::text(503, "not ready\n") }
 }
--- a/crates/catkin-node/src/lead/mod.rs
+++ b/crates/catkin-node/src/lead/mod.rs
@@ -31,10 +31,13 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// The pause before the row is read again.
 const READ_AGAIN: Duration = Duration::from_millis(200);
+/// A daemon waits for closer ones this many times as long as the table service takes to answer it, and at most so long.
+const FAR_FACTOR: u32 = 4;
+const FAR_MOST: Duration = Duration::from_millis(350);
 /// For how long an owner that can't write its row still calls itself one.
-const UNCONFIRMED: Duration = Duration::from_millis(1_200);
+const UNCONFIRMED: Duration = Duration::from_millis(700);
 /// How long an owner that answers, and says that it can't write, is given to write after all.
-const GRACE: Duration = Duration::from_millis(700);
+const GRACE: Duration = Duration::from_millis(300);
 /// For how long an owner acts without an answer of the table service.
 pub const AUTONOMY: Duration = Duration::from_secs(10);
 
@@ -57,7 +60,7 @@
             if !cx.is_draining() && is_free(&cx, &known.lead, heard) {
                 let busy = heard == Heard::Other && !known.lead.address.is_empty();
                 let grace = if busy { GRACE } else { Duration::ZERO };
-                tokio::time::sleep(grace + jitter()).await;
+                tokio::time::sleep(grace + far_last(&cx) + jitter()).await;
                 known = take_over(&cx, known).await;
                 announce(&cx, &known.lead);
                 heard = Heard::Well;
@@ -86,6 +89,11 @@
     Silent,
 }
 
+/// Whoever is close to the table service goes first: an owner writes to it before each start and after each end.
+fn far_last(cx: &Cx) -> Duration {
+    (cx.table.took() * FAR_FACTOR).min(FAR_MOST)
+}
+
 /// Daemons that find the cell free at the same time do not all write at once.
 fn jitter() -> Duration {
     Duration::from_millis(rand::rng().random_range(0..60))
@@ -249,6 +257,7 @@
     let end = loop {
         tokio::select! {
             () = tokio::time::sleep(RENEW) => {}
+            () = cx.drain.cancelled() => {}
             () = owner.deposed() => {
                 tracing::info!(epoch, "lead: a later owner was seen");
                 break Known::default();
--- a/crates/catkin-node/src/node.rs
+++ b/crates/catkin-node/src/node.rs
@@ -6,7 +6,6 @@
 use catkin_http::server;
 use error_stack::{Report, ResultExt};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -92,7 +91,7 @@
     /// Stops: lets go of the cell, takes no new connections, ends the requests in progress, and joins all it spawned.
     pub async fn stop(self) {
         tracing::info!(daemon = self.cx.cfg.daemon.id, "node: stopping");
-        self.cx.draining.store(true, Ordering::Relaxed);
+        self.cx.drain.cancel();
         tokio::time::sleep(UNTIL_UNSEEN).await;
         self.close.cancel();
         self.servers.close();
--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -8,6 +8,8 @@
 
 /// The least and the most that an answer is waited for.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(600), Duration::from_secs(3));
+/// How long an answer is taken to take before there was one.
+const FIRST: Duration = Duration::from_millis(100);
 /// An answer is waited for so many times as long as recent ones took.
 const PATIENCE_FACTOR: u32 = 4;
 
@@ -19,6 +21,8 @@
     /// Whether the last call that ended got no answer.
     silent: bool,
     patience: Duration,
+    /// How long its answers take.
+    took: Duration,
     /// Its clock and when it was read.
     clock: Option<(u64, Instant)>,
 }
@@ -34,7 +38,8 @@
     /// A client that uses `store`.
     #[must_use]
     pub fn new(store: Store) -> Self {
-        let health = Health { served: None, silent: false, patience: PATIENCE.0, clock: None };
+        let health =
+            Health { served: None, silent: false, patience: PATIENCE.0, took: FIRST, clock: None };
         Self { store, health: Mutex::new(health) }
     }
 
@@ -114,6 +119,12 @@
         self.health().patience
     }
 
+    /// How long its answers take.
+    #[must_use]
+    pub fn took(&self) -> Duration {
+        self.health().took
+    }
+
     /// Whether the last call that ended got no answer.
     #[must_use]
     pub fn is_silent(&self) -> bool {
@@ -143,6 +154,9 @@
             Ok(_) | Err(Error::HistoryGone) => {
                 let was_silent = h.silent;
                 let took = Instant::now().saturating_duration_since(sent);
+                if !took.is_zero() {
+                    h.took = (h.took * 3 + took) / 4;
+                }
                 h.patience = (took * PATIENCE_FACTOR).clamp(h.patience / 2, h.patience * 2);
                 h.patience = h.patience.clamp(PATIENCE.0, PATIENCE.1);
                 h.served = Some(Instant::now());
