Room is kept for gangs that come first in the order; questions of three kinds; fewer rounds to load; short silences say nothing

Cause: gangs of up to 48 on a quarter of the workers saw their room taken by small tasks as it came free; calls that were given a few milliseconds marked the table as silent, and work was refused; medium questions went one by one to each daemon.

--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -3,6 +3,7 @@
 use super::Cell;
 use crate::action::{Action, Start};
 use crate::job::Step;
+use crate::step::StepState;
 use crate::task::{StepRef, Task};
 use crate::worker::{Held, No, Phase, Set, Worker, millis};
 use catkin_place::score::balanced_fit;
@@ -23,12 +24,19 @@
     most: u32,
 }
 
-/// The workers that may get work in one pass, by service and label.
+/// What one pass over the steps knows.
 #[derive(Default)]
-pub(super) struct Open {
+pub(super) struct Pass {
+    /// The workers that may get work, by service and label.
     sets: HashMap<(String, Option<String>), Arc<Set>>,
+    /// Room that is kept for gangs that come before in the order.
+    kept: HashMap<No, Resources>,
+    gangs: usize,
 }
 
+/// Room is kept for at most so many gangs at a time.
+const KEPT_GANGS: usize = 6;
+
 impl Cell {
     /// Gives room to the steps that wait, in their order, and starts what can start.
     pub(super) fn schedule(&mut self, now: Duration, out: &mut Vec<Action>) {
@@ -39,9 +47,9 @@
             .map(|r| (self.rank(*r, now), *r))
             .collect();
         order.sort_unstable();
-        let mut open = Open::default();
+        let mut pass = Pass::default();
         for (_, r) in order {
-            self.consider(r, &mut open, now, out);
+            self.consider(r, &mut pass, now, out);
         }
         let reserved: Vec<StepRef> = self.reserved.iter().copied().collect();
         for r in reserved {
@@ -49,7 +57,7 @@
         }
     }
 
-    fn consider(&mut self, r: StepRef, open: &mut Open, now: Duration, out: &mut Vec<Action>) {
+    fn consider(&mut self, r: StepRef, pass: &mut Pass, now: Duration, out: &mut Vec<Action>) {
         if !self.settle(r, now) {
             return;
         }
@@ -59,7 +67,7 @@
         if kind.gang && step.any_held() {
             return;
         }
-        let eligible = self.eligible(r, kind, open, now);
+        let eligible = self.eligible(r, kind, pass, now);
         let advised = self.queue_advice(r);
         if advised && !step.asked.covers(&eligible) {
             let known = step.good.is_some();
@@ -72,10 +80,7 @@
         let Some(j) = self.jobs.get(&r.job) else { return };
         let Some(kind) = j.job.steps.get(r.step as usize) else { return };
         let Some(step) = j.step(r) else { return };
-        let candidates = self.candidates(r, kind, &eligible, advised);
-        if candidates.is_empty() {
-            return;
-        }
+        let candidates = self.candidates(r, kind, &eligible, advised, pass);
         let waiting: Vec<u32> = step.waiting().collect();
         let plan = if kind.gang {
             self.plan_gang(kind, &waiting, candidates)
@@ -85,6 +90,9 @@
         if !plan.is_empty() {
             let kind = kind.clone();
             self.reserve(r, &kind, plan, now);
+        } else if kind.gang && pass.gangs < KEPT_GANGS {
+            pass.gangs += 1;
+            self.keep_room(kind, step, &eligible, pass);
         }
     }
 
@@ -104,11 +112,11 @@
     }
 
     /// The workers of the step's service that have the label and may get work.
-    fn eligible(&self, r: StepRef, kind: &Step, open: &mut Open, now: Duration) -> Arc<Set> {
+    fn eligible(&self, r: StepRef, kind: &Step, pass: &mut Pass, now: Duration) -> Arc<Set> {
         let Some(j) = self.jobs.get(&r.job) else { return Arc::default() };
         let service = self.queues.get(&j.job.queue).map_or(&j.job.service, |q| &q.service);
         let key = (service.clone(), kind.label.clone());
-        if let Some(set) = open.sets.get(&key) {
+        if let Some(set) = pass.sets.get(&key) {
             return Arc::clone(set);
         }
         let fits = |w: &Worker| {
@@ -120,11 +128,18 @@
             .filter(|no| fits(self.worker(*no)) && self.usable(*no, now))
             .for_each(|no| set.insert(no));
         let set = Arc::new(set);
-        open.sets.insert(key, Arc::clone(&set));
+        pass.sets.insert(key, Arc::clone(&set));
         set
     }
 
-    fn candidates(&self, r: StepRef, kind: &Step, eligible: &Set, advised: bool) -> Vec<Candidate> {
+    fn candidates(
+        &self,
+        r: StepRef,
+        kind: &Step,
+        eligible: &Set,
+        advised: bool,
+        pass: &Pass,
+    ) -> Vec<Candidate> {
         let Some(step) = self.step(r) else { return Vec::new() };
         let mut here: BTreeMap<No, u32> = BTreeMap::new();
         if kind.max_per_worker > 0 {
@@ -137,7 +152,8 @@
         let kept = self.kept_free(r, kind);
         let candidate = |no: No| {
             let most = cap.saturating_sub(here.get(&no).copied().unwrap_or(0));
-            let free = self.worker(no).free().saturating_sub(&kept);
+            let gangs = pass.kept.get(&no).copied().unwrap_or_default();
+            let free = self.worker(no).free().saturating_sub(&kept).saturating_sub(&gangs);
             (most > 0 && room.fits(&free)).then_some(Candidate { no, free, most })
         };
         match (&step.good, advised) {
@@ -152,6 +168,38 @@
         }
     }
 
+    /// Keeps room for a gang on those of its workers that will have it first, by the expected ends of their tasks.
+    fn keep_room(&self, kind: &Step, step: &StepState, eligible: &Set, pass: &mut Pass) {
+        let room = kind.room();
+        let Some(good) = &step.good else { return };
+        // When each worker can take one more member: its free room first, then as its tasks end.
+        let mut slots: Vec<(Duration, No)> = Vec::new();
+        for no in good.keys().copied().filter(|no| eligible.contains(*no)) {
+            let w = self.worker(no);
+            let taken = pass.kept.get(&no).copied().unwrap_or_default();
+            let mut free = w.free().saturating_sub(&taken);
+            let mut ends: Vec<_> = w.held.values().map(|h| (h.expected_end, h.room)).collect();
+            ends.sort_unstable_by_key(|(at, _)| *at);
+            let mut have = times(&free, &room);
+            slots.extend((0..have).map(|_| (Duration::ZERO, no)));
+            for (at, size) in ends {
+                free = free.saturating_add(&size);
+                let now_have = times(&free, &room);
+                slots.extend((have..now_have).map(|_| (at, no)));
+                have = have.max(now_have);
+            }
+        }
+        let count = step.waiting().count();
+        if slots.len() < count {
+            return;
+        }
+        slots.sort_unstable();
+        for (_, no) in slots.into_iter().take(count) {
+            let kept = pass.kept.entry(no).or_default();
+            *kept = kept.saturating_add(&room);
+        }
+    }
+
     /// What a task of the step leaves free on each worker for urgent work to come.
     fn kept_free(&self, r: StepRef, kind: &Step) -> Resources {
         let queue = self.jobs.get(&r.job).and_then(|j| self.queues.get(&j.job.queue));
--- a/crates/catkin-node/src/asks/mod.rs
+++ b/crates/catkin-node/src/asks/mod.rs
@@ -10,8 +10,12 @@
 
 /// How much longer than the adviser's own time an answer may take.
 const SLACK: Duration = Duration::from_millis(500);
-/// Calls that take the adviser longer than this are long.
+/// Calls that take the adviser longer than this are long: a daemon asks nothing else meanwhile.
 const LONG: Duration = Duration::from_millis(250);
+/// Calls that take the adviser less than this are short.
+const SHORT: Duration = Duration::from_millis(40);
+/// One daemon of so many asks short questions only.
+const FOR_SHORT: usize = 4;
 /// How long a daemon that was not heard of gets no questions.
 const FORGET: Duration = Duration::from_millis(1_200);
 /// How long a daemon that did not answer gets no questions.
@@ -58,7 +62,9 @@
 }
 
 /// The adviser's time that the questions of one daemon may take together: the next one is there when one is answered.
-const AHEAD: Duration = Duration::from_millis(100);
+const AHEAD: Duration = Duration::from_millis(220);
+/// The same for a daemon that asks short questions only.
+const AHEAD_SHORT: Duration = Duration::from_millis(80);
 
 /// A daemon that can ask.
 #[derive(Clone, Debug)]
@@ -79,7 +85,7 @@
     }
 
     fn is_free(&self, now: Duration) -> bool {
-        alive(self, now) && now >= self.paused_until && !self.long && self.asked < AHEAD
+        alive(self, now) && now >= self.paused_until && !self.long
     }
 }
 
@@ -128,28 +134,38 @@
     /// The next question that a daemon is free for, and that daemon.
     pub fn next(&mut self, now: Duration) -> Option<(Ask, Option<SocketAddr>)> {
         let live = self.askers.iter().filter(|a| alive(a, now)).count();
+        let for_short = if live > 1 { (live / FOR_SHORT).max(1) } else { 0 };
         let long_now = self.askers.iter().filter(|a| a.long).count();
-        // Short questions find a free daemon at any time.
-        let most_long = (live * 2 / 3).max(1);
-        let free = self.askers.iter().enumerate().filter(|(_, a)| a.is_free(now));
-        let (free, asker) = free.min_by_key(|(_, a)| a.asked)?;
-        // A long question goes to a daemon that asks nothing else.
-        let long = long_now < most_long && asker.asked.is_zero();
+        let most_long = (live / 2).max(1);
         let rank = |a: &Ask| {
             let late = a.before < now;
             (late, if late { a.cost } else { a.before })
         };
-        let (i, _) = self
-            .waiting
-            .iter()
-            .enumerate()
-            .filter(|(_, a)| a.cost <= LONG || long)
-            .min_by_key(|(_, a)| rank(a))?;
-        let ask = self.waiting.swap_remove(i);
-        let asker = &mut self.askers[free];
-        asker.asked += ask.cost;
-        asker.long = ask.cost > LONG;
-        Some((ask, asker.addr))
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_key(|i| rank(&self.waiting[*i]));
+        for i in order {
+            let cost = self.waiting[i].cost;
+            if cost > LONG && long_now >= most_long {
+                continue;
+            }
+            let fits = |n: usize, a: &Asker| {
+                let short_only = n < for_short;
+                a.is_free(now)
+                    && match cost {
+                        c if c > LONG => !short_only && a.asked.is_zero(),
+                        c if c > SHORT => !short_only && a.asked < AHEAD,
+                        _ => a.asked < if short_only { AHEAD_SHORT } else { AHEAD },
+                    }
+            };
+            let free = (0..).zip(&self.askers).filter(|(n, a)| fits(*n, a));
+            let Some((n, _)) = free.min_by_key(|(_, a)| a.asked) else { continue };
+            let ask = self.waiting.swap_remove(i);
+            let asker = &mut self.askers[n];
+            asker.asked += cost;
+            asker.long = cost > LONG;
+            return Some((ask, asker.addr));
+        }
+        None
     }
 
     /// The daemon at `addr` has its answer.
--- a/crates/catkin-node/src/lead/load.rs
+++ b/crates/catkin-node/src/lead/load.rs
@@ -41,15 +41,13 @@
 /// # Errors
 /// The table service does not answer, or there is a later owner.
 pub async fn load(cx: &Cx, epoch: Epoch) -> Result<Start, Error> {
-    let heads = try_join_all((0..PARTS).map(|part| claim(cx, part, epoch)));
-    let (heads, workers) = futures::try_join!(heads, all(cx, list::TABLE, ""))?;
-    let mut start = Start { heads, workers_version: workers.1, ..Start::default() };
+    let parts = try_join_all((0..PARTS).map(|part| load_part(cx, part, epoch)));
+    let (parts, workers) = futures::try_join!(parts, all(cx, list::TABLE, ""))?;
+    let mut start = Start { workers_version: workers.1, ..Start::default() };
     start.workers = workers.0.iter().filter_map(listed).collect();
-    let parts = (0..PARTS).map(table::part_name);
-    let jobs = try_join_all(parts.clone().map(|part| all(cx, table::JOBS, part)));
-    // Progress is read after the jobs: what was accepted later has none.
-    let jobs = jobs.await?;
-    let progress = try_join_all(parts.map(|part| all(cx, table::PROGRESS, part))).await?;
+    start.heads = parts.iter().map(|p| p.head).collect();
+    let (jobs, progress): (Vec<_>, Vec<_>) =
+        parts.into_iter().map(|p| (p.jobs, p.progress)).unzip();
     start.jobs_version = jobs.iter().map(|(_, version)| *version).min().unwrap_or(0);
     for row in jobs.iter().flat_map(|(rows, _)| rows) {
         if let (Some(id), Some(job)) = (parse_job(&row.key), table::read::<Job>(row)) {
@@ -66,6 +64,22 @@
     Ok(start)
 }
 
+/// The rows of a part, and the version of the row that says who may write them.
+struct Part {
+    head: u64,
+    jobs: (Vec<Row>, u64),
+    progress: (Vec<Row>, u64),
+}
+
+/// Reads a part once nobody else can write its progress. Jobs are accepted all the while: they have none.
+async fn load_part(cx: &Cx, part: usize, epoch: Epoch) -> Result<Part, Error> {
+    let head = claim(cx, part, epoch).await?;
+    let name = table::part_name(part);
+    let (jobs, progress) =
+        futures::try_join!(all(cx, table::JOBS, name), all(cx, table::PROGRESS, name))?;
+    Ok(Part { head, jobs, progress })
+}
+
 /// What a row of the list of workers says.
 pub fn listed(row: &Row) -> Option<Listed> {
     list::parse(&row.key, row.value.as_ref()?)
--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -48,13 +48,13 @@
     /// # Errors
     /// As [`Store::commit`].
     pub async fn commit(&self, changes: &Changes, most: Duration) -> Result<Outcome, Error> {
-        let (sent, patience) = (Instant::now(), self.patience().min(most));
-        let outcome = self.store.commit(changes, patience).await;
+        let (sent, patience) = (Instant::now(), self.patience());
+        let outcome = self.store.commit(changes, patience.min(most)).await;
         let clock = match &outcome {
             Ok(Outcome::Done { clock_ms, .. }) => *clock_ms,
             _ => 0,
         };
-        self.note(sent, clock, &outcome);
+        self.note(sent, clock, patience <= most, &outcome);
         outcome
     }
 
@@ -95,9 +95,9 @@
         limit: Option<u32>,
         most: Duration,
     ) -> Result<Rows, Error> {
-        let (sent, patience) = (Instant::now(), self.patience().min(most));
-        let rows = self.store.read(table, part, from, limit, patience).await;
-        self.note(sent, rows.as_ref().map_or(0, |r| r.clock_ms), &rows);
+        let (sent, patience) = (Instant::now(), self.patience());
+        let rows = self.store.read(table, part, from, limit, patience.min(most)).await;
+        self.note(sent, rows.as_ref().map_or(0, |r| r.clock_ms), patience <= most, &rows);
         rows
     }
 
@@ -109,7 +109,7 @@
         let sent = Instant::now();
         let rows = self.store.changes(table, after, wait, wait + self.patience()).await;
         // The wait is no sign of how long answers take.
-        self.note(sent + wait, rows.as_ref().map_or(0, |r| r.clock_ms), &rows);
+        self.note(sent + wait, rows.as_ref().map_or(0, |r| r.clock_ms), true, &rows);
         rows
     }
 
@@ -148,7 +148,8 @@
         *self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn note<T>(&self, sent: Instant, clock_ms: u64, result: &Result<T, Error>) {
+    /// Notes what came of a call. A silence that was not waited out, `whole` not being set, says nothing.
+    fn note<T>(&self, sent: Instant, clock_ms: u64, whole: bool, result: &Result<T, Error>) {
         let mut h = self.health.lock().unwrap_or_else(PoisonError::into_inner);
         match result {
             Ok(_) | Err(Error::HistoryGone) => {
@@ -172,7 +173,7 @@
             Err(Error::NotDone(_) | Error::Malformed(_)) => {}
             Err(Error::Unknown(e)) => {
                 // Calls sent before the last answer say nothing about now.
-                if h.served.is_none_or(|at| at < sent) {
+                if whole && h.served.is_none_or(|at| at < sent) {
                     h.patience = (h.patience * 2).min(PATIENCE.1);
                     if !h.silent {
                         tracing::warn!("table: no answer: {e}");
