--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -21,8 +21,8 @@
     /// Whether the last call that ended got no answer.
     silent: bool,
     patience: Duration,
-    /// How long its answers take.
-    took: Duration,
+    /// How long its answers take, once there was one.
+    took: Option<Duration>,
     /// Its clock and when it was read.
     clock: Option<(u64, Instant)>,
 }
@@ -39,7 +39,7 @@
     #[must_use]
     pub fn new(store: Store) -> Self {
         let health =
-            Health { served: None, silent: false, patience: PATIENCE.0, took: FIRST, clock: None };
+            Health { served: None, silent: false, patience: PATIENCE.0, took: None, clock: None };
         Self { store, health: Mutex::new(health) }
     }
 
@@ -122,7 +122,7 @@
     /// How long its answers take.
     #[must_use]
     pub fn took(&self) -> Duration {
-        self.health().took
+        self.health().took.unwrap_or(FIRST)
     }
 
     /// Whether the last call that ended got no answer.
@@ -156,7 +156,7 @@
                 let was_silent = h.silent;
                 let took = Instant::now().saturating_duration_since(sent);
                 if !took.is_zero() {
-                    h.took = (h.took * 3 + took) / 4;
+                    h.took = Some(h.took.map_or(took, |old| (old * 3 + took) / 4));
                 }
                 h.patience = (took * PATIENCE_FACTOR).clamp(h.patience / 2, h.patience * 2);
                 h.patience = h.patience.clamp(PATIENCE.0, PATIENCE.1);
