A daemon that the table refuses has jobs stored and cancelled by the owner

Ruled out: forwarding to any daemon: the owner is the one that has to reach the table, or is replaced.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -50,7 +50,9 @@
         } else if all_done && self.every_occurrence_begun(id) {
             self.conclude(id, State::Completed, &mut Vec::new());
         } else {
-            refs.into_iter().for_each(|r| self.refresh(r));
+            for r in refs {
+                self.refresh(r);
+            }
         }
     }
 
@@ -205,7 +207,9 @@
             .filter(|(_, t)| t.at.is_some())
             .map(|(i, _)| r.task(i))
             .collect();
-        held.into_iter().for_each(|task| self.stop_task(task, out));
+        for task in held {
+            self.stop_task(task, out);
+        }
     }
 
     /// Stops a task wherever it is.
@@ -239,7 +243,9 @@
             return;
         }
         let refs = j.refs(r.job);
-        refs.into_iter().for_each(|r| self.refresh(r));
+        for r in refs {
+            self.refresh(r);
+        }
     }
 
     fn every_occurrence_begun(&self, id: JobId) -> bool {
--- a/crates/catkin-cell/src/cell/looks.rs
+++ b/crates/catkin-cell/src/cell/looks.rs
@@ -149,7 +149,9 @@
         }
         self.counts.done += 1;
         // A run that took the place of one that was given up for lost.
-        elsewhere.into_iter().for_each(|t| self.stop_task(t, out));
+        for t in elsewhere {
+            self.stop_task(t, out);
+        }
         let version = self.mark(r.job);
         if self.step(r).is_some_and(|s| s.undone == 0) {
             self.reserved.remove(&r);
@@ -274,9 +276,8 @@
                 continue;
             }
             match held.phase {
-                Phase::Reserved | Phase::Starting => {}
                 Phase::Running if held.since < sent => gone.push(*task),
-                Phase::Running => {}
+                Phase::Reserved | Phase::Starting | Phase::Running => {}
                 Phase::Stopping => {
                     if held.stop_answered.is_some_and(|at| at < sent) {
                         gone.push(*task);
--- a/crates/catkin-cell/src/cell/orders.rs
+++ b/crates/catkin-cell/src/cell/orders.rs
@@ -85,10 +85,11 @@
             }
             Reply::Unknown | Reply::NotRun => {}
             _ => {
-                if let Some(held) = self.worker_mut(s.worker).held.get_mut(&s.task) {
-                    if held.run == s.run && held.phase == Phase::Stopping {
-                        held.stop_answered.get_or_insert(now);
-                    }
+                if let Some(held) = self.worker_mut(s.worker).held.get_mut(&s.task)
+                    && held.run == s.run
+                    && held.phase == Phase::Stopping
+                {
+                    held.stop_answered.get_or_insert(now);
                 }
                 out.push(Action::Look(s.worker));
             }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -83,7 +83,7 @@
         let candidates = self.candidates(r, kind, &eligible, advised, pass);
         let waiting: Vec<u32> = step.waiting().collect();
         let plan = if kind.gang {
-            self.plan_gang(kind, &waiting, candidates)
+            self.plan_gang(kind, &waiting, &candidates)
         } else {
             self.plan_tasks(kind, &waiting, candidates)
         };
@@ -235,10 +235,10 @@
     }
 
     /// A plan for all members, or none.
-    fn plan_gang(&self, kind: &Step, waiting: &[u32], candidates: Vec<Candidate>) -> Plan {
+    fn plan_gang(&self, kind: &Step, waiting: &[u32], candidates: &[Candidate]) -> Plan {
         if kind.same_rack {
             let mut racks: BTreeMap<&str, Vec<&Candidate>> = BTreeMap::new();
-            for c in &candidates {
+            for c in candidates {
                 racks.entry(&self.worker(c.no).listed.rack).or_default().push(c);
             }
             let plans = racks.into_values().map(|c| self.spread(kind, waiting, c));
--- a/crates/catkin-cell/src/cell/save.rs
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -81,7 +81,9 @@
     /// Lets the workers forget the ends that are durable.
     fn acknowledge(&mut self) {
         let Self { workers, jobs, .. } = self;
-        workers.iter_mut().for_each(|w| acknowledge(w, jobs));
+        for w in workers {
+            acknowledge(w, jobs);
+        }
     }
 
     /// Lets one worker forget the ends that are durable.
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -46,14 +46,13 @@
     }
 
     fn list_one(&mut self, l: Listed) {
-        let no = match self.numbers.get(&l.id) {
-            Some(no) => *no,
-            None => {
-                let no = No(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
-                self.numbers.insert(l.id.clone(), no);
-                self.workers.push(Worker::default());
-                no
-            }
+        let no = if let Some(no) = self.numbers.get(&l.id) {
+            *no
+        } else {
+            let no = No(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
+            self.numbers.insert(l.id.clone(), no);
+            self.workers.push(Worker::default());
+            no
         };
         let w = self.worker_mut(no);
         let known = w.listed.born;
--- a/crates/catkin-cell/src/job/mod.rs
+++ b/crates/catkin-cell/src/job/mod.rs
@@ -38,6 +38,7 @@
 }
 
 /// Tasks of one kind.
+#[expect(clippy::struct_excessive_bools, reason = "each is a property of its own")]
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Step {
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -234,7 +234,7 @@
     pub(crate) fn clock_at_least(&self, now: Duration) -> Option<u64> {
         let (clock, at) = self.clock?;
         let passed = now.saturating_sub(at);
-        Some(clock + millis(passed - passed * SLOW_PER_MILLE / 1_000))
+        Some(clock + millis(passed.checked_sub(passed * SLOW_PER_MILLE / 1_000).unwrap()))
     }
 
     /// The worker's clock at `now`, if it runs as ours does.
--- a/crates/catkin-cell/tests/cell/faults.rs
+++ b/crates/catkin-cell/tests/cell/faults.rs
@@ -7,7 +7,7 @@
 
 /// Jobs of all kinds, accepted over four seconds.
 fn play(seed: u64, trouble: Trouble) -> World {
-    let mut w = World::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15), 8, seed % 2 == 0);
+    let mut w = World::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15), 8, seed.is_multiple_of(2));
     w.take_over(None);
     let mut id = 0;
     for second in 1..5 {
@@ -15,7 +15,7 @@
             id += 1;
             let ms = 200 + w.random() % 2_000;
             let count = 1 + u32::try_from(w.random() % 6).expect("small");
-            let first = Step { gang: w.random() % 3 == 0, ..step(count, 1_000, ms) };
+            let first = Step { gang: w.random().is_multiple_of(3), ..step(count, 1_000, ms) };
             let second = Step { after: vec![0], ..step(2, 1_500, ms) };
             let steps = if id % 3 == 0 { vec![first, second] } else { vec![first] };
             w.accept(id, steps);
--- a/crates/catkin-cell/tests/cell/worker.rs
+++ b/crates/catkin-cell/tests/cell/worker.rs
@@ -12,12 +12,10 @@
 
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub run: u32,
+    pub number: u32,
     pub size: Resources,
     pub ends: Duration,
     pub how: How,
-    /// Not at work before the other members are there.
-    pub gang: bool,
 }
 
 /// What happened at a worker, for the checks of the world.
@@ -74,7 +72,7 @@
 
     pub fn clock_ms(&self, now: Duration) -> u64 {
         let passed = now.saturating_sub(self.started);
-        let passed = passed - passed * self.slow_clock / 1_000;
+        let passed = passed.checked_sub(passed * self.slow_clock / 1_000).unwrap();
         u64::try_from(passed.as_millis()).expect("small")
     }
 
@@ -94,11 +92,11 @@
 
     fn end(&mut self, task: Task, how: How, facts: &mut Vec<Fact>) {
         let Some(r) = self.running.remove(&task) else { return };
-        facts.push(Fact::Ended(task, r.run, how));
-        self.closed.insert(task, r.run);
+        facts.push(Fact::Ended(task, r.number, how));
+        self.closed.insert(task, r.number);
         let number = self.next_end;
         self.next_end += 1;
-        self.ended.push(Ended { number, task, run: r.run, how, checkpoint: String::new() });
+        self.ended.push(Ended { number, task, run: r.number, how, checkpoint: String::new() });
     }
 
     /// Lets time go by: tasks end, leases run out.
@@ -113,11 +111,13 @@
             .filter(|(_, r)| lapsed || r.ends <= now)
             .map(|(t, r)| (*t, if r.ends <= now { r.how } else { How::Lapsed }))
             .collect();
-        over.into_iter().for_each(|(t, how)| self.end(t, how, facts));
+        for (t, how) in over {
+            self.end(t, how, facts);
+        }
     }
 
     pub fn break_gang(&mut self, task: Task, run: u32, how: How, facts: &mut Vec<Fact>) {
-        if self.running.get(&task).is_some_and(|r| r.run == run) {
+        if self.running.get(&task).is_some_and(|r| r.number == run) {
             self.end(task, how, facts);
         }
     }
@@ -135,7 +135,7 @@
         s: &Start,
         epoch: Epoch,
         step: &Step,
-        run: Run,
+        run: &Run,
         now: Duration,
         facts: &mut Vec<Fact>,
     ) -> Reply {
@@ -149,7 +149,7 @@
             return Reply::Late;
         }
         self.lease_to_ms = self.lease_to_ms.max(s.until_ms);
-        if self.running.get(&s.task).is_some_and(|r| r.run == s.run) {
+        if self.running.get(&s.task).is_some_and(|r| r.number == s.run) {
             return Reply::Done;
         }
         if self.running.contains_key(&s.task)
@@ -157,7 +157,7 @@
         {
             return Reply::Old;
         }
-        self.running.insert(s.task, Run { size: step.size, ..run });
+        self.running.insert(s.task, Run { size: step.size, ..run.clone() });
         facts.push(Fact::Started(s.task, s.run));
         Reply::Done
     }
@@ -170,7 +170,7 @@
             return Reply::Fenced;
         }
         match self.running.get_mut(&s.task) {
-            Some(r) if r.run == s.run => {
+            Some(r) if r.number == s.run => {
                 if r.ends > now + STOPPING {
                     r.ends = now + STOPPING;
                     r.how = How::Stopped;
@@ -202,7 +202,7 @@
         self.ended.retain(|e| e.number > acknowledged);
         let running = self.running.iter().map(|(task, r)| Running {
             task: *task,
-            run: r.run,
+            run: r.number,
             checkpoint: String::new(),
             percent: 0.0,
         });
--- a/crates/catkin-cell/tests/cell/world.rs
+++ b/crates/catkin-cell/tests/cell/world.rs
@@ -260,7 +260,7 @@
     }
 
     fn disturb(&mut self) {
-        if self.now.as_millis() % 1_000 != 0 {
+        if !self.now.as_millis().is_multiple_of(1_000) {
             return;
         }
         let t = self.trouble;
@@ -400,14 +400,13 @@
                 let ms = ms * u64::from(self.trouble.longer.max(1));
                 let how = if self.chance(self.trouble.fails) { How::Failed } else { How::Done };
                 let run = Run {
-                    run: s.run,
+                    number: s.run,
                     size: step.size,
                     ends: now + Duration::from_millis(ms),
                     how,
-                    gang: step.gang,
                 };
                 let mut facts = Vec::new();
-                let reply = self.workers[n].start(&s, epoch, &step, run, now, &mut facts);
+                let reply = self.workers[n].start(&s, epoch, &step, &run, now, &mut facts);
                 self.note(n, facts);
                 if answered {
                     let when = now + self.delay();
@@ -461,15 +460,15 @@
                 let advised = if well { Advised::Good(good) } else { Advised::Nothing };
                 o.cell.advised(&ask, advised, now, now);
             }),
-            Event::Written(epoch, batch) => self.write(epoch, batch),
+            Event::Written(epoch, batch) => self.write(epoch, &batch),
         }
     }
 
     /// The table takes writes of the newest owner only.
-    fn write(&mut self, epoch: Epoch, batch: Vec<Write>) {
+    fn write(&mut self, epoch: Epoch, batch: &[Write]) {
         let now = self.now;
         if epoch == self.epoch {
-            for w in &batch {
+            for w in batch {
                 match w {
                     Write::Progress(id, p) => {
                         self.progress.insert(*id, p.clone());
@@ -482,7 +481,7 @@
         self.with(epoch, |o, out| {
             o.writing = false;
             if epoch == newest {
-                o.cell.written(&batch, now);
+                o.cell.written(batch, now);
             } else {
                 out.push(Action::Deposed);
             }
@@ -605,7 +604,9 @@
                     o.writing = !batch.is_empty();
                 }
             });
-            due.into_iter().for_each(|no| self.send_look(no, epoch));
+            for no in due {
+                self.send_look(no, epoch);
+            }
             if !batch.is_empty() {
                 let when = now + self.delay();
                 self.at(when, Event::Written(epoch, batch));
--- a/crates/catkin-daemon/src/route/mod.rs
+++ b/crates/catkin-daemon/src/route/mod.rs
@@ -86,7 +86,7 @@
             Response::Done
         }
         Request::Workers(shard) => ask_owner(cx, &shard, owner::Message::Workers).await,
-        Request::Waiting(_) | Request::Advise(_) => {
+        Request::Waiting(_) | Request::Advise(_) | Request::Store { .. } | Request::Withdraw(_) => {
             refused(Code::BAD_REQUEST, "this daemon owns no cell")
         }
     }
--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs of clients: accepted, asked for, cancelled.
 
 use super::refused;
+use super::store::{self, Durable};
 use crate::cx::Cx;
 use crate::peers;
 use crate::table::{self, ENDED, End, JOBS, job_key};
@@ -8,7 +9,6 @@
 use catkin_http::body::{self, Body};
 use catkin_platform::entry;
 use catkin_platform::error::Error;
-use catkin_platform::store::{Changes, Outcome};
 use catkin_schema::peer::{Request, Response as Answer};
 use catkin_types::JobId;
 use catkin_types::id::format_job;
@@ -27,7 +27,7 @@
 const TELL_PATIENCE: Duration = Duration::from_millis(800);
 
 /// What is known of a job in the table.
-enum Stored {
+pub(super) enum Stored {
     Open { job: Job, version: u64 },
     Ended(State),
     Never,
@@ -40,49 +40,17 @@
     job: Job,
     deadline: Duration,
 ) -> Response<Body> {
-    let changes = table::accept(id, &job);
-    let deadline = deadline.min(cx.now() + SETTLE);
-    let mut lost = false;
-    loop {
-        let left = deadline.saturating_sub(cx.now());
-        if left.is_zero() {
-            tracing::info!(job = format_job(id), "gate: it is not known whether the job is stored");
-            return body::text(504, "it is not known whether the job is accepted\n");
-        }
-        match cx.table.commit(&changes, left).await {
-            Ok(Outcome::Done { .. }) => {
-                tracing::info!(job = format_job(id), queue = job.queue, "gate: accepted");
-                tell(
-                    cx,
-                    Request::Offer { shard: String::new(), job: id, body: table::to_json(&job) },
-                );
-                return body::text(200, "accepted\n");
-            }
-            Ok(Outcome::Conflict(_)) => {
-                if lost {
-                    // An earlier try was carried out, or another daemon accepted the job.
-                    tell(
-                        cx,
-                        Request::Offer {
-                            shard: String::new(),
-                            job: id,
-                            body: table::to_json(&job),
-                        },
-                    );
-                }
-                tracing::info!(job = format_job(id), "gate: accepted before");
-                return body::text(200, "accepted before\n");
-            }
-            Err(Error::NotDone(e)) if !lost => {
-                tracing::info!(job = format_job(id), "gate: refused, not stored: {e}");
-                return refused(503, "the job is not stored");
-            }
-            Err(e) => {
-                lost |= !matches!(e, Error::NotDone(_));
-                tracing::debug!(job = format_job(id), "gate: not known to be stored: {e}");
-                tokio::time::sleep(PAUSE).await;
-            }
+    let durable = store::accept(cx, id, &job, deadline.min(cx.now() + SETTLE)).await;
+    tracing::info!(job = format_job(id), queue = job.queue, "gate: job stored: {durable:?}");
+    match durable {
+        Durable::Yes => {
+            let body = table::to_json(&job);
+            tell(cx, Request::Offer { shard: String::new(), job: id, body });
+            body::text(200, "accepted\n")
         }
+        Durable::Before => body::text(200, "accepted before\n"),
+        Durable::No | Durable::Never => refused(503, "the job is not stored"),
+        Durable::Unknown => body::text(504, "it is not known whether the job is accepted\n"),
     }
 }
 
@@ -95,24 +63,30 @@
 }
 
 /// Calls the owner of the cell.
-async fn ask(cx: &Arc<Cx>, req: Request, patience: Duration) -> Option<Answer> {
+///
+/// # Errors
+/// It is not known or did not answer.
+pub(super) async fn ask(
+    cx: &Arc<Cx>,
+    req: Request,
+    patience: Duration,
+) -> Result<Answer, catkin_peer::Error> {
     if cx.owner.borrow().is_some() {
-        return tokio::time::timeout(patience, peers::answer(cx, req)).await.ok();
-    }
-    let leader = cx.leader.borrow().clone()?;
-    match cx.calls.call(leader.addr, req, patience).await {
-        Ok(answer) => Some(answer),
-        Err(e) => {
-            tracing::debug!("gate: the owner does not answer: {e}");
-            None
-        }
+        let answer = tokio::time::timeout(patience, peers::answer(cx, req)).await;
+        return answer.map_err(|_| catkin_peer::Error::Lost("the owner is busy".into()));
     }
+    let leader = cx.leader.borrow().clone();
+    let Some(leader) = leader else {
+        return Err(catkin_peer::Error::NotSent("the owner is not known".into()));
+    };
+    let answer = cx.calls.call(leader.addr, req, patience).await;
+    answer.inspect_err(|e| tracing::debug!("gate: the owner does not answer: {e}"))
 }
 
 /// Answers how far a job is.
 pub(super) async fn state(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Response<Body> {
     let answer = ask(cx, Request::JobStatus(id), OWNER_PATIENCE).await;
-    if let Some(Answer::Text(word)) = answer
+    if let Ok(Answer::Text(word)) = answer
         && let Some(state) = parse_state(&word)
     {
         return shown(state);
@@ -140,7 +114,7 @@
 }
 
 /// What the table has of a job, nothing if it can't be read in time.
-async fn stored(cx: &Cx, id: JobId, deadline: Duration) -> Option<Stored> {
+pub(super) async fn stored(cx: &Cx, id: JobId, deadline: Duration) -> Option<Stored> {
     loop {
         let left = deadline.saturating_sub(cx.now());
         if left.is_zero() {
@@ -173,45 +147,26 @@
 
 /// Cancels a job and answers once that is durable.
 pub(super) async fn cancel(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Response<Body> {
-    while let Some(stored) = stored(cx, id, deadline).await {
-        let (job, version) = match stored {
-            Stored::Never => return body::text(410, "no such job\n"),
-            Stored::Ended(_) => return body::text(200, "the job is at its end\n"),
-            Stored::Open { job, .. } if job.cancelled => {
-                tell(cx, Request::Cancel { shard: String::new(), jobs: vec![id] });
-                return body::text(200, "cancelled before\n");
-            }
-            Stored::Open { job, version } => (job, version),
-        };
-        let key = job_key(JOBS, id);
-        let cancelled = Job { cancelled: true, ..job };
-        let changes = Changes {
-            expect: vec![(key.clone(), version)],
-            put: vec![(key, table::to_json(&cancelled))],
-            remove: Vec::new(),
-        };
-        let left = deadline.saturating_sub(cx.now());
-        match cx.table.commit(&changes, left).await {
-            Ok(Outcome::Done { .. }) => {
-                tracing::info!(job = format_job(id), "gate: cancelled");
-                tell(cx, Request::Cancel { shard: String::new(), jobs: vec![id] });
-                return body::text(200, "cancelled\n");
-            }
-            Ok(Outcome::Conflict(_)) => {}
-            Err(e) => {
-                tracing::debug!(job = format_job(id), "gate: not known to be cancelled: {e}");
-                tokio::time::sleep(PAUSE).await;
-            }
+    let durable = store::cancel(cx, id, deadline).await;
+    tracing::info!(job = format_job(id), "gate: job cancelled: {durable:?}");
+    match durable {
+        Durable::Yes => {
+            tell(cx, Request::Cancel { shard: String::new(), jobs: vec![id] });
+            body::text(200, "cancelled\n")
+        }
+        Durable::Before => body::text(200, "the job is at its end\n"),
+        Durable::Never => body::text(410, "no such job\n"),
+        Durable::No | Durable::Unknown => {
+            body::text(504, "it is not known whether the job is cancelled\n")
         }
     }
-    body::text(504, "it is not known whether the job is cancelled\n")
 }
 
 /// Answers how many jobs of a queue wait for their first start.
 pub(super) async fn waiting(cx: &Arc<Cx>, queue: &str, deadline: Duration) -> Response<Body> {
     let left = deadline.saturating_sub(cx.now());
     match ask(cx, Request::Waiting(queue.to_owned()), left).await {
-        Some(Answer::Count(n)) => {
+        Ok(Answer::Count(n)) => {
             let mut res = body::text(200, entry::waiting_body(n));
             let json = hyper::header::HeaderValue::from_static("application/json");
             res.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -2,13 +2,14 @@
 
 mod jobs;
 mod route;
+pub mod store;
 
 use crate::cx::Cx;
 use bytes::Bytes;
 use catkin_http::body::{self, Body};
 use catkin_platform::config::Config;
 use catkin_platform::entry;
-use catkin_types::id::{format_job, parse_job};
+use catkin_types::id::parse_job;
 use hyper::body::Incoming;
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Method, Request, Response};
@@ -57,10 +58,6 @@
     req: Request<Incoming>,
     deadline: Duration,
 ) -> Response<Body> {
-    if cx.table.is_silent() {
-        tracing::info!(job = format_job(id), "gate: refused, the table does not answer");
-        return refused(503, "the job can't be stored now");
-    }
     let bytes = match body::read(req.into_body(), config.max_body).await {
         Ok(bytes) => bytes,
         Err(catkin_http::Error::TooLarge(max)) => {
--- /dev/null
+++ b/crates/catkin-node/src/gate/store.rs
@@ -0,0 +1,175 @@
+//! Jobs made durable: here, or by the owner of the cell where the table refuses this daemon.
+
+use super::jobs::{Stored, ask, stored};
+use crate::cx::Cx;
+use crate::table::{self, JOBS, job_key};
+use catkin_cell::Job;
+use catkin_platform::error::Error;
+use catkin_platform::store::{Changes, Outcome};
+use catkin_schema::peer::{Request, Response};
+use catkin_types::id::format_job;
+use catkin_types::{Code, JobId};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The pause before a call whose answer was lost is made again.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// What came of making something durable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Durable {
+    /// It is.
+    Yes,
+    /// It was before.
+    Before,
+    /// There is no such job.
+    Never,
+    /// It is not, and will not be.
+    No,
+    /// That is not known.
+    Unknown,
+}
+
+impl Durable {
+    /// The answer to another daemon.
+    #[must_use]
+    pub fn answer(self) -> Response {
+        let refused = |code: Code| {
+            Response::Refused(catkin_schema::peer::Refused {
+                code: code.number(),
+                ..Default::default()
+            })
+        };
+        match self {
+            Self::Yes => Response::Done,
+            Self::Before => Response::Count(0),
+            Self::Never => refused(Code::NOT_FOUND),
+            Self::No => refused(Code::STORE_DOWN),
+            Self::Unknown => refused(Code::STORE_UNKNOWN),
+        }
+    }
+
+    /// What the owner answered; nothing if it did not.
+    fn read(answer: Option<Response>) -> Option<Self> {
+        match answer? {
+            Response::Done => Some(Self::Yes),
+            Response::Count(_) => Some(Self::Before),
+            Response::Refused(r) if r.code == Code::NOT_FOUND.number() => Some(Self::Never),
+            Response::Refused(r) if r.code == Code::STORE_UNKNOWN.number() => Some(Self::Unknown),
+            Response::Refused(_) => Some(Self::No),
+            _ => Some(Self::Unknown),
+        }
+    }
+}
+
+/// Stores a job, by the owner if the table refuses this daemon or does not answer it.
+pub async fn accept(cx: &Arc<Cx>, id: JobId, job: &Job, deadline: Duration) -> Durable {
+    let here = if cx.table.is_silent() {
+        Durable::No
+    } else {
+        accept_here(cx, id, job, deadline.min(cx.now() + cx.table.patience())).await
+    };
+    if !matches!(here, Durable::No | Durable::Unknown) {
+        return here;
+    }
+    let req = Request::Store { job: id, body: table::to_json(job) };
+    match by_owner(cx, req, deadline).await {
+        Some(Durable::No) | None if here == Durable::Unknown => {
+            accept_here(cx, id, job, deadline).await.after_unknown()
+        }
+        Some(by_owner) => by_owner,
+        None => here,
+    }
+}
+
+impl Durable {
+    /// A refusal says nothing of an earlier try that may yet be carried out.
+    fn after_unknown(self) -> Self {
+        if self == Self::No { Self::Unknown } else { self }
+    }
+}
+
+/// Asks the owner, unless that is this daemon. Nothing if the question certainly did not arrive.
+async fn by_owner(cx: &Arc<Cx>, req: Request, deadline: Duration) -> Option<Durable> {
+    if cx.owner.borrow().is_some() {
+        return None;
+    }
+    let left = deadline.saturating_sub(cx.now());
+    match ask(cx, req, left).await {
+        Ok(answer) => Durable::read(Some(answer)),
+        Err(catkin_peer::Error::Lost(_)) => Some(Durable::Unknown),
+        Err(_) => None,
+    }
+}
+
+/// Stores a job with this daemon's own calls.
+pub async fn accept_here(cx: &Cx, id: JobId, job: &Job, deadline: Duration) -> Durable {
+    let changes = table::accept(id, job);
+    let mut lost = false;
+    loop {
+        let left = deadline.saturating_sub(cx.now());
+        if left.is_zero() {
+            return Durable::Unknown;
+        }
+        match cx.table.commit(&changes, left).await {
+            Ok(Outcome::Done { .. }) => return Durable::Yes,
+            // An earlier try was carried out, or another daemon accepted the job.
+            Ok(Outcome::Conflict(_)) if lost => return Durable::Yes,
+            Ok(Outcome::Conflict(_)) => return Durable::Before,
+            Err(Error::NotDone(e)) if !lost => {
+                tracing::debug!(job = format_job(id), "gate: not stored: {e}");
+                return Durable::No;
+            }
+            Err(e) => {
+                lost |= !matches!(e, Error::NotDone(_));
+                tracing::debug!(job = format_job(id), "gate: not known to be stored: {e}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Makes it durable that a job is cancelled, by the owner if the table refuses this daemon.
+pub async fn cancel(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Durable {
+    let here = if cx.table.is_silent() {
+        Durable::No
+    } else {
+        cancel_here(cx, id, deadline.min(cx.now() + cx.table.patience() * 2)).await
+    };
+    if !matches!(here, Durable::No | Durable::Unknown) {
+        return here;
+    }
+    match by_owner(cx, Request::Withdraw(id), deadline).await {
+        Some(Durable::No) | None => cancel_here(cx, id, deadline).await,
+        Some(by_owner) => by_owner,
+    }
+}
+
+/// Makes it durable with this daemon's own calls.
+pub async fn cancel_here(cx: &Cx, id: JobId, deadline: Duration) -> Durable {
+    while let Some(known) = stored(cx, id, deadline).await {
+        let (job, version) = match known {
+            Stored::Never => return Durable::Never,
+            Stored::Ended(_) => return Durable::Before,
+            Stored::Open { job, .. } if job.cancelled => return Durable::Yes,
+            Stored::Open { job, version } => (job, version),
+        };
+        let key = job_key(JOBS, id);
+        let cancelled = Job { cancelled: true, ..job };
+        let changes = Changes {
+            expect: vec![(key.clone(), version)],
+            put: vec![(key, table::to_json(&cancelled))],
+            remove: Vec::new(),
+        };
+        let left = deadline.saturating_sub(cx.now());
+        match cx.table.commit(&changes, left).await {
+            Ok(Outcome::Done { .. }) => return Durable::Yes,
+            Ok(Outcome::Conflict(_)) => {}
+            Err(e) => {
+                tracing::debug!(job = format_job(id), "gate: not known to be cancelled: {e}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    Durable::Unknown
+}
--- a/crates/catkin-node/src/lead/load.rs
+++ b/crates/catkin-node/src/lead/load.rs
@@ -81,6 +81,7 @@
 }
 
 /// What a row of the list of workers says.
+#[must_use]
 pub fn listed(row: &Row) -> Option<Listed> {
     list::parse(&row.key, row.value.as_ref()?)
 }
@@ -132,6 +133,9 @@
 }
 
 /// All rows of a part of a table, and the version of the first answer.
+///
+/// # Errors
+/// The table service does not answer, after several tries.
 pub async fn all(cx: &Cx, table: &str, part: &str) -> Result<(Vec<Row>, u64), Error> {
     let mut rows: Vec<Row> = Vec::new();
     let mut version = None;
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -17,7 +17,7 @@
 /// How often the list of workers is read.
 const WORKERS_EVERY: Duration = Duration::from_millis(600);
 /// How often jobs are read that nobody told of.
-const JOBS_EVERY: Duration = Duration::from_millis(1_000);
+const JOBS_EVERY: Duration = Duration::from_secs(1);
 
 impl Running {
     pub(super) fn follow_config(&self) {
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -300,7 +300,9 @@
             Message::Config(config) => self.configure(&config),
             Message::Listed { workers, gone, whole } => {
                 self.cell.list(workers, !whole, now);
-                gone.iter().for_each(|id| self.cell.unlist(id, now));
+                for id in &gone {
+                    self.cell.unlist(id, now);
+                }
             }
             Message::Seen(id, sent, long, seen) => {
                 self.seen(id, sent, long, seen, now, &mut out);
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -56,7 +56,7 @@
                     step = ask.step.step,
                     workers = ask.workers.len(),
                     by = ?by,
-                    took_ms = (cx.now() - sent).as_millis(),
+                    took_ms = cx.now().checked_sub(sent).unwrap().as_millis(),
                     cost_ms = ask.cost.as_millis(),
                     "owner: advised"
                 );
--- a/crates/catkin-node/src/peers.rs
+++ b/crates/catkin-node/src/peers.rs
@@ -2,15 +2,20 @@
 
 use crate::asks;
 use crate::cx::Cx;
+use crate::gate::store::{self, Durable};
 use crate::lead;
 use crate::owner::Message;
 use catkin_cell::{Job, StepRef};
 use catkin_peer::Incoming;
 use catkin_schema::peer::{Refused, Request, Response};
-use catkin_types::Code;
+use catkin_types::{Code, JobId};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
+/// How long a job is tried to be stored for another daemon.
+const PATIENCE: Duration = Duration::from_millis(1_200);
+
 /// Answers calls until the daemon stops.
 pub async fn run(cx: Arc<Cx>, mut rx: mpsc::Receiver<Incoming>) {
     while let Some(call) = rx.recv().await {
@@ -38,10 +43,33 @@
                 Err(e) => refused(Code::NO_TARGET, &format!("no advice: {e}")),
             }
         }
+        Request::Store { job, body } => store_for(cx, job, &body).await,
+        Request::Withdraw(id) => {
+            let durable = store::cancel_here(cx, id, cx.now() + PATIENCE).await;
+            if let (Durable::Yes, Some(owner)) = (durable, cx.owner.borrow().clone()) {
+                owner.tell(Message::Cancel(id));
+            }
+            durable.answer()
+        }
         req => owned(cx, req).await,
     }
 }
 
+/// Stores a job for another daemon.
+async fn store_for(cx: &Cx, id: JobId, body: &[u8]) -> Response {
+    let Ok(job) = serde_json::from_slice::<Job>(body) else {
+        return refused(Code::BAD_REQUEST, "the job can't be read");
+    };
+    if cx.table.is_silent() {
+        return Durable::No.answer();
+    }
+    let durable = store::accept_here(cx, id, &job, cx.now() + PATIENCE).await;
+    if let (Durable::Yes, Some(owner)) = (durable, cx.owner.borrow().clone()) {
+        owner.tell(Message::Offer(id, Box::new(job)));
+    }
+    durable.answer()
+}
+
 /// Answers a call that only the owner of the cell can.
 async fn owned(cx: &Cx, req: Request) -> Response {
     let owner = cx.owner.borrow().clone();
@@ -55,7 +83,9 @@
             Response::Done
         }
         Request::Cancel { jobs, .. } => {
-            jobs.into_iter().for_each(|id| owner.tell(Message::Cancel(id)));
+            for id in jobs {
+                owner.tell(Message::Cancel(id));
+            }
             Response::Done
         }
         Request::JobStatus(id) => match owner.ask(|tx| Message::State(id, tx)).await {
--- a/crates/catkin-schema/src/peer/decode.rs
+++ b/crates/catkin-schema/src/peer/decode.rs
@@ -43,6 +43,11 @@
             request::JobStatus(job) => Self::JobStatus(job),
             request::Explain(job) => Self::Explain(job),
             request::Look(()) => Self::Look,
+            request::Store(x) => {
+                let x = x?;
+                Self::Store { job: x.get_job(), body: x.get_body()?.to_vec() }
+            }
+            request::Withdraw(job) => Self::Withdraw(job),
             request::Waiting(queue) => Self::Waiting(queue?.to_string()?),
             request::Advise(x) => {
                 let x = x?;
--- a/crates/catkin-schema/src/peer/encode.rs
+++ b/crates/catkin-schema/src/peer/encode.rs
@@ -40,6 +40,12 @@
             Self::Explain(job) => b.set_explain(*job),
             Self::Workers(shard) => b.set_workers(shard),
             Self::Look => b.set_look(()),
+            Self::Store { job, body } => {
+                let mut b = b.init_store();
+                b.set_job(*job);
+                b.set_body(body);
+            }
+            Self::Withdraw(job) => b.set_withdraw(*job),
             Self::Waiting(queue) => b.set_waiting(queue),
             Self::Advise(x) => {
                 let mut b = b.init_advise();
--- a/crates/catkin-schema/src/peer/mod.rs
+++ b/crates/catkin-schema/src/peer/mod.rs
@@ -47,6 +47,15 @@
     Waiting(String),
     /// Has the adviser asked about a step of a job.
     Advise(Advise),
+    /// Has a job stored for a daemon that the table refuses.
+    Store {
+        /// The job.
+        job: JobId,
+        /// The job as it is to be stored.
+        body: Vec<u8>,
+    },
+    /// Has it made durable that a job is cancelled.
+    Withdraw(JobId),
 }
 
 /// The answer to a call.
--- a/crates/catkin-schema/tests/schema/peer.rs
+++ b/crates/catkin-schema/tests/schema/peer.rs
@@ -49,6 +49,8 @@
         Request::Workers("s".into()),
         Request::Look,
         Request::Waiting("q".into()),
+        Request::Store { job: 8, body: b"{}".to_vec() },
+        Request::Withdraw(9),
         Request::Advise(Advise {
             job: 6,
             occurrence: 1,
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -25,6 +25,8 @@
     look @10 :Void;             # shards changed: read them now
     waiting @11 :Text;          # the queue
     advise @12 :Advise;
+    store @13 :Offer;           # store a job for a daemon that the table refuses
+    withdraw @14 :UInt64;       # make it durable that a job is cancelled
   }
 }
 
