--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -8,6 +8,8 @@
 
 /// The least and the most that an answer is waited for.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(600), Duration::from_secs(3));
+/// The shortest time of an answer is taken to grow by one part in so many with each answer.
+const TOOK_GROWTH: u32 = 16;
 /// How long an answer is taken to take before there was one.
 const FIRST: Duration = Duration::from_millis(100);
 /// An answer is waited for so many times as long as recent ones took.
@@ -156,7 +158,9 @@
                 let was_silent = h.silent;
                 let took = Instant::now().saturating_duration_since(sent);
                 if !took.is_zero() {
-                    h.took = Some(h.took.map_or(took, |old| (old * 3 + took) / 4));
+                    // The shortest of recent answers: others include connecting, and work of this daemon.
+                    let grown = h.took.map(|old| old + old / TOOK_GROWTH);
+                    h.took = Some(grown.map_or(took, |old| old.min(took)));
                 }
                 h.patience = (took * PATIENCE_FACTOR).clamp(h.patience / 2, h.patience * 2);
                 h.patience = h.patience.clamp(PATIENCE.0, PATIENCE.1);
