--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -43,11 +43,7 @@
     let durable = store::accept(cx, id, &job, deadline.min(cx.now() + SETTLE)).await;
     tracing::info!(job = format_job(id), queue = job.queue, "gate: job stored: {durable:?}");
     match durable {
-        Durable::Yes => {
-            let body = table::to_json(&job);
-            tell(cx, Request::Offer { shard: String::new(), job: id, body });
-            body::text(200, "accepted\n")
-        }
+        Durable::Yes => body::text(200, "accepted\n"),
         Durable::Before => body::text(200, "accepted before\n"),
         Durable::No | Durable::Never => refused(503, "the job is not stored"),
         Durable::Unknown => body::text(504, "it is not known whether the job is accepted\n"),
@@ -55,7 +51,7 @@
 }
 
 /// Tells the owner of the cell something that it would find in the table a little later.
-fn tell(cx: &Arc<Cx>, req: Request) {
+pub(super) fn tell(cx: &Arc<Cx>, req: Request) {
     let mine = Arc::clone(cx);
     cx.spawn(async move {
         drop(ask(&mine, req, TELL_PATIENCE).await);
--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -1,6 +1,6 @@
 //! Jobs made durable: here, or by the owner of the cell where the table refuses this daemon.
 
-use super::jobs::{Stored, ask, stored};
+use super::jobs::{Stored, ask, stored, tell};
 use crate::cx::Cx;
 use crate::table::{self, JOBS, job_key};
 use catkin_cell::Job;
@@ -15,6 +15,9 @@
 /// The pause before a call whose answer was lost is made again.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// How long the owner may take at least to store a job.
+const OWNER_PATIENCE: Duration = Duration::from_millis(700);
+
 /// What came of making something durable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Durable {
@@ -50,11 +53,12 @@
     }
 
     /// What the owner answered; nothing if it did not.
-    fn read(answer: Option<Response>) -> Option<Self> {
-        match answer? {
+    fn read(answer: Response) -> Option<Self> {
+        match answer {
             Response::Done => Some(Self::Yes),
             Response::Count(_) => Some(Self::Before),
             Response::Refused(r) if r.code == Code::NOT_FOUND.number() => Some(Self::Never),
+            Response::Refused(r) if r.code == Code::NO_OWNER.number() => None,
             Response::Refused(r) if r.code == Code::STORE_UNKNOWN.number() => Some(Self::Unknown),
             Response::Refused(_) => Some(Self::No),
             _ => Some(Self::Unknown),
@@ -62,24 +66,34 @@
     }
 }
 
-/// Stores a job, by the owner if the table refuses this daemon or does not answer it.
+/// Stores a job: by the owner of the cell, which writes many at once; else with this daemon's own calls.
 pub async fn accept(cx: &Arc<Cx>, id: JobId, job: &Job, deadline: Duration) -> Durable {
-    let here = if cx.table.is_silent() {
-        Durable::No
-    } else {
-        accept_here(cx, id, job, deadline.min(cx.now() + cx.table.patience())).await
-    };
-    if !matches!(here, Durable::No | Durable::Unknown) {
-        return here;
+    let patience = cx.table.patience().max(OWNER_PATIENCE);
+    let by_owner = store_by_owner(cx, id, job, deadline.min(cx.now() + patience)).await;
+    match by_owner {
+        Some(Durable::No | Durable::Unknown) | None => {}
+        Some(durable) => return durable,
     }
-    let req = Request::Store { job: id, body: table::to_json(job) };
-    match by_owner(cx, req, deadline).await {
-        Some(Durable::No) | None if here == Durable::Unknown => {
-            accept_here(cx, id, job, deadline).await.after_unknown()
-        }
-        Some(by_owner) => by_owner,
-        None => here,
+    if cx.table.is_silent() {
+        return by_owner.unwrap_or(Durable::No);
+    }
+    let here = accept_here(cx, id, job, deadline).await;
+    if here == Durable::Yes {
+        let body = table::to_json(job);
+        tell(cx, Request::Offer { shard: String::new(), job: id, body });
+    }
+    if by_owner == Some(Durable::Unknown) { here.after_unknown() } else { here }
+}
+
+/// Has the owner store a job. Nothing if it certainly does not.
+async fn store_by_owner(cx: &Arc<Cx>, id: JobId, job: &Job, deadline: Duration) -> Option<Durable> {
+    let owner = cx.owner.borrow().clone();
+    if let Some(owner) = owner {
+        let left = deadline.saturating_sub(cx.now());
+        let durable = tokio::time::timeout(left, owner.accept(id, job.clone())).await;
+        return Some(durable.ok().flatten().unwrap_or(Durable::Unknown));
     }
+    by_owner(cx, Request::Store { job: id, body: table::to_json(job) }, deadline).await
 }
 
 impl Durable {
@@ -96,7 +110,7 @@
     }
     let left = deadline.saturating_sub(cx.now());
     match ask(cx, req, left).await {
-        Ok(answer) => Durable::read(Some(answer)),
+        Ok(answer) => Durable::read(answer),
         Err(catkin_peer::Error::Lost(_)) => Some(Durable::Unknown),
         Err(_) => None,
     }
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -1,6 +1,6 @@
 //! The owner of the cell: an actor around the decisions of [`catkin_cell`].
 
-mod commits;
+pub mod commits;
 mod feeds;
 mod looks;
 mod orders;
@@ -8,11 +8,12 @@
 
 use crate::asks::Askers;
 use crate::cx::Cx;
+use crate::gate::store::Durable;
 use crate::lead::load;
 use catkin_cell::action::Loaded;
 use catkin_cell::cell::Advised;
 use catkin_cell::worker::{Listed, No, Reply, Seen};
-use catkin_cell::{Action, Ask, Cell, Job, Options, Start, State, Stop, Write};
+use catkin_cell::{Action, Ask, Cell, Job, Options, Start, State, Stop};
 use catkin_platform::config::Config;
 use catkin_types::{Epoch, JobId, WorkerId};
 use commits::Parts;
@@ -63,8 +64,10 @@
     Stopped(Box<Stop>, Reply),
     /// A question was answered, by the daemon given.
     Advised(Box<Ask>, Option<SocketAddr>, Duration, Option<Advised>),
-    /// A batch of a part is durable, and the row of the part has this version.
-    Written(usize, Vec<Write>, u64),
+    /// A batch of a part is durable.
+    Written(commits::Written),
+    /// A client hands a job in.
+    Accept(commits::New),
     /// There is a later owner.
     Deposed,
 }
@@ -110,6 +113,11 @@
         }
     }
 
+    /// Hands a job in, and returns whether it is durable; nothing if the owner stopped before that was known.
+    pub async fn accept(&self, id: JobId, job: Job) -> Option<Durable> {
+        self.ask(|tx| Message::Accept(commits::New { id, job, tx })).await
+    }
+
     /// Asks the owner something.
     pub async fn ask<T>(&self, msg: impl FnOnce(oneshot::Sender<T>) -> Message) -> Option<T> {
         let (tx, rx) = oneshot::channel();
@@ -310,10 +318,8 @@
             Message::Started(s, reply) => self.cell.started(&s, reply, now, &mut out),
             Message::Stopped(s, reply) => self.cell.stopped(&s, reply, now, &mut out),
             Message::Advised(ask, by, sent, advised) => self.advised(&ask, by, sent, advised, now),
-            Message::Written(part, batch, version) => {
-                self.parts.written(part, version, now);
-                self.cell.written(&batch, now);
-            }
+            Message::Written(w) => self.written(w, now),
+            Message::Accept(new) => self.accept(new),
             Message::Deposed => self.deposed.cancel(),
         }
         self.act(out, now);
--- a/crates/catkin-node/src/peers.rs
+++ b/crates/catkin-node/src/peers.rs
@@ -57,17 +57,12 @@
 
 /// Stores a job for another daemon.
 async fn store_for(cx: &Cx, id: JobId, body: &[u8]) -> Response {
+    let owner = cx.owner.borrow().clone();
+    let Some(owner) = owner else { return not_owner() };
     let Ok(job) = serde_json::from_slice::<Job>(body) else {
         return refused(Code::BAD_REQUEST, "the job can't be read");
     };
-    if cx.table.is_silent() {
-        return Durable::No.answer();
-    }
-    let durable = store::accept_here(cx, id, &job, cx.now() + PATIENCE).await;
-    if let (Durable::Yes, Some(owner)) = (durable, cx.owner.borrow().clone()) {
-        owner.tell(Message::Offer(id, Box::new(job)));
-    }
-    durable.answer()
+    owner.accept(id, job).await.unwrap_or(Durable::Unknown).answer()
 }
 
 /// Answers a call that only the owner of the cell can.
