--- a/crates/catkin-cell/src/cell/looks.rs
+++ b/crates/catkin-cell/src/cell/looks.rs
@@ -205,7 +205,6 @@
         }
         self.note_checkpoint(r);
         self.note_begun(r.task.step);
-        self.note_pace(no, r, now);
     }
 
     fn note_checkpoint(&mut self, r: &Running) {
@@ -249,7 +248,6 @@
             start_by_ms: 0,
             stop_answered: None,
             expected_end: now,
-            progress: None,
         };
         w.hold(r.task, held);
         if wanted {
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -5,14 +5,12 @@
 mod jobs;
 mod looks;
 mod orders;
-mod pace;
 mod place;
 mod rank;
 mod save;
 mod workers;
 
 pub use advice::Advised;
-pub(crate) use pace::Pace;
 pub use workers::WorkerView;
 
 use crate::action::Action;
@@ -101,8 +99,6 @@
     /// Workers that answered in this term.
     settled: HashSet<WorkerId>,
     fleet: Fleet,
-    /// When the pace of workers was last compared.
-    compared: Duration,
     /// The size of recent urgent tasks.
     urgent_size: Resources,
     counts: Counts,
@@ -168,7 +164,6 @@
             dirty: BTreeSet::new(),
             settled: HashSet::new(),
             fleet,
-            compared: Duration::ZERO,
             urgent_size: Resources::default(),
             counts: Counts::default(),
         }
@@ -222,7 +217,6 @@
         self.stop_again(now, out);
         self.check_gangs(now, out);
         self.drop_reservations(now);
-        self.compare_pace(now);
         self.schedule(now, out);
         self.forget(now);
     }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -290,7 +290,6 @@
                 start_by_ms: 0,
                 stop_answered: None,
                 expected_end: now + expected,
-                progress: None,
             };
             self.worker_mut(no).hold(task, held);
         }
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -128,7 +128,7 @@
             && listed
             && !w.listed.draining
             && w.misses == 0
-            && now >= w.closed_until.max(w.slow_until)
+            && now >= w.closed_until
             && self.fleet.standing(&w.listed.id, now) != Standing::Quarantined
     }
 
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -1,6 +1,5 @@
 //! A worker as its owner sees it.
 
-use crate::cell::Pace;
 use crate::task::Task;
 use catkin_place::Host;
 use catkin_types::{Incarnation, JobId, Resources, WorkerId, Zone};
@@ -140,8 +139,6 @@
     pub stop_answered: Option<Duration>,
     /// When the task is expected to end.
     pub expected_end: Duration,
-    /// How far it was seen to be, in hundredths, and when.
-    pub progress: Option<(f64, Duration)>,
 }
 
 /// An end that has not been acknowledged: its number, and the version of the job that has to be durable before.
@@ -223,9 +220,6 @@
     pub misses: u32,
     /// Until when it gets no new work, after it declined some.
     pub closed_until: Duration,
-    /// Until when it gets no new work, as it is slow.
-    pub slow_until: Duration,
-    pub pace: Pace,
 }
 
 /// A worker's clock may be this many thousandths slow.
@@ -279,8 +273,6 @@
         self.lease_to_ms = 0;
         self.acknowledged = 0;
         self.noted = 0;
-        self.slow_until = Duration::ZERO;
-        self.pace = Pace::default();
         self.unacknowledged.clear();
         self.host.declared = Resources::default();
         self.held.drain().collect()
