A job that has ended is never taken in again by a later owner

An owner that had taken over since knew neither the job nor its end, and started it anew with run 1. Now a conflict tells what is there; the word of another daemon is a hint, after which the owner reads the row; and rows of the feed are taken only if they changed after their own part was read. Ruled out: progress lost in loading (the second start had run 1 with no progress row at all), late batches (fenced by the part's row).

--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -5,7 +5,7 @@
 use crate::table::{self, JOBS, job_key};
 use catkin_cell::Job;
 use catkin_platform::error::Error;
-use catkin_platform::store::{Changes, Outcome};
+use catkin_platform::store::{Changes, Outcome, Row};
 use catkin_schema::peer::{Request, Response};
 use catkin_types::id::format_job;
 use catkin_types::{Code, JobId};
@@ -83,8 +83,7 @@
     }
     let here = accept_here(cx, id, job, deadline).await;
     if here == Durable::Yes {
-        let body = table::to_json(job);
-        tell(cx, Request::Offer { shard: String::new(), job: id, body });
+        tell(cx, Request::Offer { shard: String::new(), job: id, body: Vec::new() });
     }
     if by_owner == Some(Durable::Unknown) { here.after_unknown() } else { here }
 }
@@ -131,9 +130,7 @@
         }
         match cx.table.commit(&changes, left).await {
             Ok(Outcome::Done { .. }) => return Durable::Yes,
-            // An earlier try was carried out, or another daemon accepted the job.
-            Ok(Outcome::Conflict(_)) if lost => return Durable::Yes,
-            Ok(Outcome::Conflict(_)) => return Durable::Before,
+            Ok(Outcome::Conflict(rows)) => return after_conflict(&rows, lost),
             Err(Error::NotDone(e)) if !lost => {
                 tracing::debug!(job = format_job(id), "gate: not stored: {e}");
                 return Durable::No;
@@ -147,6 +144,13 @@
     }
 }
 
+/// What a conflict says of a job: it is there, by an earlier try if an answer was `lost`; or it is at its end.
+#[must_use]
+pub fn after_conflict(rows: &[Row], lost: bool) -> Durable {
+    let open = |r: &Row| table::read::<Job>(r).is_some_and(|job| !job.steps.is_empty());
+    if lost && rows.iter().any(open) { Durable::Yes } else { Durable::Before }
+}
+
 /// Makes it durable that a job is cancelled, by the owner if the table refuses this daemon.
 pub async fn cancel(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Durable {
     let here = if cx.table.is_silent() {
--- a/crates/catkin-node/src/lead/load.rs
+++ b/crates/catkin-node/src/lead/load.rs
@@ -30,8 +30,8 @@
     pub heads: Vec<u64>,
     /// The workers.
     pub workers: Vec<Listed>,
-    /// Changes of jobs after this version are new.
-    pub jobs_version: u64,
+    /// Changes of jobs after these versions are new, part by part.
+    pub jobs_versions: Vec<u64>,
     /// Changes of workers after this version are new.
     pub workers_version: u64,
 }
@@ -48,7 +48,7 @@
     start.heads = parts.iter().map(|p| p.head).collect();
     let (jobs, progress): (Vec<_>, Vec<_>) =
         parts.into_iter().map(|p| (p.jobs, p.progress)).unzip();
-    start.jobs_version = jobs.iter().map(|(_, version)| *version).min().unwrap_or(0);
+    start.jobs_versions = jobs.iter().map(|(_, version)| *version).collect();
     for row in jobs.iter().flat_map(|(rows, _)| rows) {
         if let (Some(id), Some(job)) = (parse_job(&row.key), table::read::<Job>(row)) {
             start.jobs.insert(id, Loaded { job, ..Loaded::default() });
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -16,6 +16,8 @@
 
 /// How often the list of workers is read.
 const WORKERS_EVERY: Duration = Duration::from_millis(600);
+/// How long the row of one job is waited for.
+const READ_PATIENCE: Duration = Duration::from_secs(1);
 /// How often jobs are read that nobody told of.
 const JOBS_EVERY: Duration = Duration::from_secs(1);
 
@@ -56,16 +58,32 @@
         });
     }
 
-    pub(super) fn follow_jobs(&self, after: u64) {
+    /// Reads a job that this owner does not know. If its row is there, nothing of it has run: whatever earlier owners
+    /// ran was read when this one took over.
+    pub(super) fn read_job(&self, id: JobId) {
+        if self.cell.knows(id) {
+            return;
+        }
         let (cx, me) = (Arc::clone(&self.cx), self.me.clone());
         self.spawn(async move {
-            let mut after = after;
+            match cx.table.read_one(&table::job_key(JOBS, id), READ_PATIENCE).await {
+                Ok(row) => tell_jobs(&me, row.as_slice()),
+                Err(e) => tracing::debug!("owner: a job is not read yet: {e}"),
+            }
+        });
+    }
+
+    pub(super) fn follow_jobs(&self, after: Vec<u64>) {
+        let (cx, me) = (Arc::clone(&self.cx), self.me.clone());
+        self.spawn(async move {
+            let read = after;
+            let mut after = read.iter().copied().min().unwrap_or(0);
             loop {
                 tokio::time::sleep(JOBS_EVERY).await;
                 match cx.table.changes(JOBS, after, Duration::ZERO).await {
                     Ok(rows) => {
                         after = after.max(rows.version);
-                        tell_jobs(&me, &rows.rows);
+                        tell_jobs(&me, &table::accepted_since(rows.rows, &read));
                     }
                     Err(Error::HistoryGone) => {
                         if let Some(version) = reread_jobs(&cx, &me).await {
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -33,8 +33,8 @@
     Pass,
     /// Time went by.
     Tick,
-    /// A job was accepted.
-    Offer(JobId, Box<Job>),
+    /// A job was accepted by another daemon. It may be at its end since: its row is read.
+    Offer(JobId),
     /// A job was cancelled.
     Cancel(JobId),
     /// Asks for the state of a job.
@@ -238,7 +238,7 @@
         self.cell.list(loaded.workers, false, now);
         self.follow_config();
         self.follow_workers(loaded.workers_version);
-        self.follow_jobs(loaded.jobs_version);
+        self.follow_jobs(loaded.jobs_versions);
         let me = self.me.clone();
         self.spawn(async move {
             loop {
@@ -288,7 +288,7 @@
                 return;
             }
             Message::Tick => self.summarise(now),
-            Message::Offer(id, job) => self.add(id, *job, now),
+            Message::Offer(id) => self.read_job(id),
             Message::Stored(jobs) => {
                 for (id, job) in jobs {
                     self.stored(id, job, now, &mut out);
--- a/crates/catkin-node/src/peers.rs
+++ b/crates/catkin-node/src/peers.rs
@@ -70,11 +70,8 @@
     let owner = cx.owner.borrow().clone();
     let Some(owner) = owner else { return not_owner() };
     match req {
-        Request::Offer { job, body, .. } => {
-            let Ok(stored) = serde_json::from_slice::<Job>(&body) else {
-                return refused(Code::BAD_REQUEST, "the job can't be read");
-            };
-            owner.tell(Message::Offer(job, Box::new(stored)));
+        Request::Offer { job, .. } => {
+            owner.tell(Message::Offer(job));
             Response::Done
         }
         Request::Cancel { jobs, .. } => {
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -17,6 +17,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
+use std::collections::BTreeMap;
 
 /// Into how many parts jobs are divided. Each takes one transaction at a time.
 pub const PARTS: usize = 4;
@@ -108,6 +109,21 @@
     }
 }
 
+/// The rows of jobs, of those that changed, that were accepted or cancelled after their part was read, each as it is
+/// now. `read` has the version of each part.
+#[must_use]
+pub fn accepted_since(rows: Vec<Row>, read: &[u64]) -> Vec<Row> {
+    let mut newest: BTreeMap<String, Row> = BTreeMap::new();
+    for row in rows {
+        let part = PART_NAMES.iter().position(|name| *name == row.part);
+        let known = part.and_then(|p| read.get(p)).is_some_and(|read| row.version <= *read);
+        if !known {
+            newest.insert(row.key.clone(), row);
+        }
+    }
+    newest.into_values().filter(|r| r.value.is_some()).collect()
+}
+
 /// The bytes of a row.
 #[must_use]
 pub fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
