--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod gang;
 mod jobs;
+mod launch;
 mod looks;
 mod orders;
 mod place;
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -112,12 +112,20 @@
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let stop = self.stop.clone();
-        self.tasks.spawn(async move {
-            tokio::select! {
-                () = f => {}
-                () = stop.cancelled() => {}
-            }
-        });
+        spawn_until(&self.tasks, &self.stop, f);
     }
 }
+
+/// Spawns a task that ends at the latest when `stop` is cancelled.
+pub fn spawn_until<F>(tasks: &TaskTracker, stop: &CancellationToken, f: F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let stop = stop.clone();
+    tasks.spawn(async move {
+        tokio::select! {
+            () = f => {}
+            () = stop.cancelled() => {}
+        }
+    });
+}
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -7,7 +7,7 @@
 mod pass;
 
 use crate::asks::Askers;
-use crate::cx::Cx;
+use crate::cx::{Cx, spawn_until};
 use crate::gate::store::Durable;
 use crate::lead::load;
 use catkin_cell::action::Loaded;
@@ -269,13 +269,7 @@
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let stop = self.stop.clone();
-        self.tasks.spawn(async move {
-            tokio::select! {
-                () = f => {}
-                () = stop.cancelled() => {}
-            }
-        });
+        spawn_until(&self.tasks, &self.stop, f);
     }
 
     fn handle(&mut self, msg: Message) {
--- a/crates/catkin-node/src/owner/orders.rs
+++ b/crates/catkin-node/src/owner/orders.rs
@@ -2,7 +2,8 @@
 
 use super::{Message, Running};
 use catkin_cell::worker::Reply;
-use catkin_cell::{Start, Stop};
+use catkin_cell::{Start, Stop, Task};
+use catkin_types::id::format_job;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,14 +17,7 @@
         self.spawn(async move {
             let reply = cx.workers.start(&worker, &addr, &s, epoch, PATIENCE).await;
             if reply != Reply::Done {
-                tracing::info!(
-                    job = format!("{:016x}", s.task.step.job),
-                    step = s.task.step.step,
-                    index = s.task.index,
-                    run = s.run,
-                    worker,
-                    "owner: start answered {reply:?}"
-                );
+                log(s.task, s.run, &worker, "start", reply);
             }
             drop(me.send_message(Message::Started(Box::new(s), reply)));
         });
@@ -34,15 +28,19 @@
         let (cx, me, epoch) = (Arc::clone(&self.cx), self.me.clone(), self.cell.epoch());
         self.spawn(async move {
             let reply = cx.workers.stop(&worker, &addr, &s, epoch, PATIENCE).await;
-            tracing::info!(
-                job = format!("{:016x}", s.task.step.job),
-                step = s.task.step.step,
-                index = s.task.index,
-                run = s.run,
-                worker,
-                "owner: stop answered {reply:?}"
-            );
+            log(s.task, s.run, &worker, "stop", reply);
             drop(me.send_message(Message::Stopped(Box::new(s), reply)));
         });
     }
 }
+
+fn log(task: Task, run: u32, worker: &str, order: &str, reply: Reply) {
+    tracing::info!(
+        job = format_job(task.step.job),
+        step = task.step.step,
+        index = task.index,
+        run,
+        worker,
+        "owner: {order} answered {reply:?}"
+    );
+}
