Read once more: what nothing calls goes out, one answer with a JSON body

Ruled out as twins: the actors of owner and slots (ractor's frame), orders to start and to stop (two replies of their own). No behaviour changes and no test was touched. Tests of cell, node, platform and house pass; lints clean.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -148,12 +148,6 @@
         self.jobs.values().filter(waits).count() as u64
     }
 
-    /// How many jobs are not at their end.
-    #[must_use]
-    pub fn jobs_open(&self) -> usize {
-        self.jobs.len()
-    }
-
     /// Begins the occurrences that are due at `wall_ms`, in milliseconds since 1970.
     pub fn begin_occurrences(&mut self, wall_ms: u64) {
         let due: Vec<JobId> = self
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -46,8 +46,6 @@
     pub pause: Duration,
     /// How long a worker may be missing from the list before it gets no more work.
     pub missing: Duration,
-    /// How many times as long a task takes far from its data or off its rack.
-    pub far_factor: f64,
     /// How long the ends of jobs are remembered.
     pub remember: Duration,
     /// How workers are judged by what they fail.
@@ -66,7 +64,6 @@
             ticket_margin: Duration::from_millis(200),
             pause: Duration::from_millis(500),
             missing: Duration::from_millis(2_500),
-            far_factor: 3.0,
             remember: Duration::from_mins(2),
             health: health::Options {
                 quarantine: Duration::from_secs(4),
--- a/crates/catkin-cell/src/cell/save.rs
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -23,13 +23,8 @@
         self.jobs.get(&id).is_none_or(|j| j.saved >= version)
     }
 
-    /// Whether anything of the jobs for which `mine` holds has to be written.
-    pub fn has_writes(&self, mine: impl Fn(JobId) -> bool) -> bool {
-        self.dirty.iter().any(|id| mine(*id))
-    }
-
     /// Takes what has to be written of at most `most` jobs for which `mine` holds. One such batch at a time is
-    /// under way for the same jobs, until [`Cell::written`] or [`Cell::not_written`].
+    /// under way for the same jobs, until [`Cell::written`].
     pub fn take_writes(&mut self, mine: impl Fn(JobId) -> bool, most: usize) -> Vec<Write> {
         let ids: Vec<JobId> =
             self.dirty.iter().copied().filter(|id| mine(*id)).take(most).collect();
@@ -61,17 +56,6 @@
         self.acknowledge();
     }
 
-    /// A batch was certainly not written.
-    pub fn not_written(&mut self, batch: &[Write]) {
-        for w in batch {
-            let (Write::Progress(id, _) | Write::Ended(id, _)) = w;
-            if let Some(j) = self.jobs.get_mut(id) {
-                j.writing = None;
-                self.dirty.insert(*id);
-            }
-        }
-    }
-
     fn ended_durably(&mut self, id: JobId, state: State, now: Duration) {
         self.jobs.remove(&id);
         self.dirty.remove(&id);
--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -13,6 +13,7 @@
 use catkin_types::JobId;
 use catkin_types::id::format_job;
 use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -103,9 +104,13 @@
 }
 
 fn shown(state: State) -> Response<Body> {
-    let mut res = body::text(200, entry::state_body(state));
-    let json = hyper::header::HeaderValue::from_static("application/json");
-    res.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    json(entry::state_body(state))
+}
+
+/// An answer with a body that is JSON already.
+fn json(bytes: Vec<u8>) -> Response<Body> {
+    let mut res = body::text(200, bytes);
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     res
 }
 
@@ -162,12 +167,7 @@
 pub(super) async fn waiting(cx: &Arc<Cx>, queue: &str, deadline: Duration) -> Response<Body> {
     let left = deadline.saturating_sub(cx.now());
     match ask(cx, Request::Waiting(queue.to_owned()), left).await {
-        Ok(Answer::Count(n)) => {
-            let mut res = body::text(200, entry::waiting_body(n));
-            let json = hyper::header::HeaderValue::from_static("application/json");
-            res.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
-            res
-        }
+        Ok(Answer::Count(n)) => json(entry::waiting_body(n)),
         _ => refused(503, "the length of the queue is not known now"),
     }
 }
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -190,7 +190,6 @@
         let opt = Options {
             lease: crate::settings::millis(b.lease_ms).min(LEASE_MOST),
             gang_wait: crate::settings::millis(b.gang_wait_ms),
-            far_factor: b.far_factor,
             remember: crate::settings::millis(b.remember_ms),
             autonomy: crate::lead::AUTONOMY,
             ..Options::default()
--- a/crates/catkin-node/src/settings/mod.rs
+++ b/crates/catkin-node/src/settings/mod.rs
@@ -85,21 +85,13 @@
     pub gang_wait_ms: f64,
     /// How long the daemon may take to stop.
     pub stop_ms: f64,
-    /// How many times as long a task takes far from its data.
-    pub far_factor: f64,
     /// How long the state of a job is remembered after its end.
     pub remember_ms: f64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self {
-            lease_ms: 6_000.0,
-            gang_wait_ms: 3_000.0,
-            stop_ms: 6_000.0,
-            far_factor: 3.0,
-            remember_ms: 120_000.0,
-        }
+        Self { lease_ms: 6_000.0, gang_wait_ms: 3_000.0, stop_ms: 6_000.0, remember_ms: 120_000.0 }
     }
 }
 
