Ports of test daemons are kept, not let go before the daemon binds them

Cause: free_port() bound port 0, let go, and named the port in the daemon's settings; in between, or while the daemon was down for a restart, the system gave the port to somebody else. Ruled out: the daemon's own start (it reports the error and ends), the stand-in platform. Now a bound socket that never listens keeps the port for as long as the deployment is there (catkin-standin, port::Kept), in the tests and in the bench's example; dev hands its open listener over.

--- a/crates/catkin-bench/examples/live/deployment.rs
+++ b/crates/catkin-bench/examples/live/deployment.rs
@@ -4,11 +4,12 @@
 use catkin_http::Client;
 use catkin_standin::executor::{Executor, Options as ExecutorOptions};
 use catkin_standin::platform::Platform;
+use catkin_standin::port::Kept;
 use catkin_standin::worker::{Options as WorkerOptions, Worker};
 use catkin_standin::{Place, Serving, listed};
 use hyper::Method;
 use std::fmt::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -43,10 +44,7 @@
     stand_ins: Vec<Serving>,
     http: Client,
     dir: std::path::PathBuf,
-}
-
-fn free() -> std::io::Result<String> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+    _ports: Vec<Kept>,
 }
 
 impl Deployment {
@@ -77,10 +75,12 @@
         }
         let dir = std::env::temp_dir().join(format!("catkin-live-{}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
-        let (mut addrs, mut ids, mut children, mut own, mut peers) =
-            (vec![], vec![], vec![], vec![], String::new());
+        let (mut addrs, mut ids, mut children, mut own, mut ports, mut peers) =
+            (vec![], vec![], vec![], vec![], vec![], String::new());
         for (id, region) in [("north-0", "north"), ("north-1", "north"), ("south-0", "south")] {
-            let (http, peer) = (free()?, free()?);
+            let kept = [Kept::new()?, Kept::new()?];
+            let [http, peer] = kept.each_ref().map(|p| p.addr().to_string());
+            ports.extend(kept);
             writeln!(
                 peers,
                 "[[peers]]\nid = \"{id}\"\nregion = \"{region}\"\nzone = \"{region}-a\"\npeer_addr = \"{peer}\"\n"
@@ -99,7 +99,8 @@
             command.args(["--threads", "2", "run"]).arg(&file).stdin(Stdio::null());
             children.push(command.spawn()?);
         }
-        let d = Self { addrs, ids, children, stand_ins, http: Client::default(), dir };
+        let d =
+            Self { addrs, ids, children, stand_ins, http: Client::default(), dir, _ports: ports };
         d.import().await?;
         d.ready().await;
         Ok(d)
--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod executor;
 pub mod faults;
 pub mod platform;
+pub mod port;
 pub mod table;
 pub mod worker;
 
--- /dev/null
+++ b/crates/catkin-standin/tests/standin/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins.
+
+mod port;
--- a/src/bin/catkincartd/dev.rs
+++ b/src/bin/catkincartd/dev.rs
@@ -11,7 +11,7 @@
 use catkin_standin::{Place, Serving, listed};
 use clap::Parser;
 use error_stack::{Report, ResultExt};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -30,9 +30,11 @@
     let mut stand_ins = vec![platform.serve(any).await.change_context(Error::StandIn)?];
     let url = format!("http://{}", stand_ins[0].addr);
     start_hosts(&platform, any, &mut stand_ins).await.change_context(Error::StandIn)?;
-    let settings = settings(listen, &url)?;
+    let peer = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).change_context(Error::Daemon)?;
+    let settings = settings(listen, &peer, &url)?;
     log::start(&settings.log);
-    let listeners = Listeners::open(&settings).change_context(Error::Daemon)?;
+    let http = TcpListener::bind(listen).change_context(Error::Daemon).attach(listen.to_owned())?;
+    let listeners = Listeners { http, peer };
     let daemon = Daemon::start(settings, listeners).await.change_context(Error::Daemon)?;
     println!("The daemon listens on {listen}; the stand-in platform on {url}.");
     let shown = example(listen).await;
@@ -80,9 +82,8 @@
 }
 
 /// Settings for one daemon that anybody on this machine may use.
-fn settings(listen: &str, url: &str) -> Result<Settings, Report<Error>> {
-    let peer = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr());
-    let peer = peer.change_context(Error::Daemon)?;
+fn settings(listen: &str, peer: &TcpListener, url: &str) -> Result<Settings, Report<Error>> {
+    let peer = peer.local_addr().change_context(Error::Daemon)?;
     let text = format!(
         r#"
 [daemon]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,8 @@
 //! Deployments of separate processes for tests: the stand-in platform, fleets, daemons, and the client.
 
+use catkin_standin::port::Kept;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::Once;
@@ -92,11 +92,6 @@
     programs().join("examples").join(name)
 }
 
-/// A port that was free a moment ago.
-pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port()
-}
-
 /// Waits until a condition holds.
 pub fn eventually<T>(what: &str, mut f: impl FnMut() -> Option<T>) -> T {
     let since = Instant::now();
@@ -116,6 +111,7 @@
     pub http: String,
     pub settings: PathBuf,
     pub process: Option<Process>,
+    _ports: [Kept; 2],
 }
 
 /// What differs between deployments.
@@ -274,19 +270,27 @@
     let mut peers = String::new();
     for (region, n) in &opt.regions {
         for k in 0..*n {
-            let (id, peer) = (format!("{region}-{k}"), format!("127.0.0.1:{}", free_port()));
+            let id = format!("{region}-{k}");
+            let ports = [Kept::new(), Kept::new()].map(|p| p.expect("a free port"));
+            let [peer, http] = ports.each_ref().map(|p| p.addr().to_string());
             write!(
                 peers,
                 "[[peers]]\nid = \"{id}\"\nregion = \"{region}\"\nzone = \"{region}-a\"\npeer_addr = \"{peer}\"\n\n"
             )
             .expect("memory");
-            let http = format!("127.0.0.1:{}", free_port());
             let own = format!(
                 "[daemon]\nid = \"{id}\"\nregion = \"{region}\"\nzone = \"{region}-a\"\nhttp_listen = \"{http}\"\npeer_listen = \"{peer}\"\n\n"
             );
             let settings = dir.join(format!("{id}.toml"));
             daemons.push((
-                Daemon { id, region: (*region).into(), http, settings, process: None },
+                Daemon {
+                    id,
+                    region: (*region).into(),
+                    http,
+                    settings,
+                    process: None,
+                    _ports: ports,
+                },
                 own,
             ));
         }
