Larger daemons own the cell first, and questions are handed out with one sort a round

Cause: on the grown deployment two thirds of the daemons have 0.12 of a core; one of them took the cell first and starved: beats of 36 askers went unheard and the workers' looks came late. Handing out questions sorted all of them again for each one. A small owner lets go once a larger one that the table serves has called. Offer.body of the peer schema, which nothing used, is gone.

--- a/crates/catkin-daemon/src/gate/jobs/mod.rs
+++ b/crates/catkin-daemon/src/gate/jobs/mod.rs
@@ -155,7 +155,6 @@
             let offer = PeerRequest::Offer {
                 shard: shard.clone(),
                 job: parse_job(&job.id).unwrap_or_default(),
-                body: Vec::new(),
             };
             self.tell(shard.clone(), offer);
         }
--- a/crates/catkin-node/src/asks/mod.rs
+++ b/crates/catkin-node/src/asks/mod.rs
@@ -131,41 +131,29 @@
         self.askers.iter().filter(|a| alive(a, now)).count()
     }
 
-    /// The next question that a daemon is free for, and that daemon.
-    pub fn next(&mut self, now: Duration) -> Option<(Ask, Option<SocketAddr>)> {
-        let live = self.askers.iter().filter(|a| alive(a, now)).count();
-        let for_short = if live > 1 { (live / FOR_SHORT).max(1) } else { 0 };
-        let long_now = self.askers.iter().filter(|a| a.long).count();
-        let most_long = (live / 2).max(1);
+    /// The questions that daemons are free for, and those daemons.
+    pub fn hand_out(&mut self, now: Duration) -> Vec<(Ask, Option<SocketAddr>)> {
+        let mut room = Room::new(&self.askers, now);
         let rank = |a: &Ask| {
             let late = a.before < now;
             (late, if late { a.cost } else { a.before })
         };
-        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
-        order.sort_by_key(|i| rank(&self.waiting[*i]));
-        for i in order {
-            let cost = self.waiting[i].cost;
-            if cost > LONG && long_now >= most_long {
-                continue;
+        self.waiting.sort_by_key(rank);
+        let mut out = Vec::new();
+        self.waiting.retain(|ask| {
+            if !room.left(ask.cost) {
+                return true;
             }
-            let fits = |n: usize, a: &Asker| {
-                let short_only = n < for_short;
-                a.is_free(now)
-                    && match cost {
-                        c if c > LONG => !short_only && a.asked.is_zero(),
-                        c if c > SHORT => !short_only && a.asked < AHEAD,
-                        _ => a.asked < if short_only { AHEAD_SHORT } else { AHEAD },
-                    }
+            let Some(asker) = room.find(&mut self.askers, ask.cost, now) else {
+                room.used_up(ask.cost);
+                return true;
             };
-            let free = (0..).zip(&self.askers).filter(|(n, a)| fits(*n, a));
-            let Some((n, _)) = free.min_by_key(|(_, a)| a.asked) else { continue };
-            let ask = self.waiting.swap_remove(i);
-            let asker = &mut self.askers[n];
-            asker.asked += cost;
-            asker.long = cost > LONG;
-            return Some((ask, asker.addr));
-        }
-        None
+            asker.asked += ask.cost;
+            asker.long = ask.cost > LONG;
+            out.push((ask.clone(), asker.addr));
+            false
+        });
+        out
     }
 
     /// The daemon at `addr` has its answer.
@@ -185,6 +173,82 @@
     }
 }
 
+/// How long a question is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Length {
+    Short,
+    Middle,
+    Long,
+}
+
+impl Length {
+    fn of(cost: Duration) -> Self {
+        match cost {
+            c if c > LONG => Self::Long,
+            c if c > SHORT => Self::Middle,
+            _ => Self::Short,
+        }
+    }
+}
+
+/// What the daemons can still take in one round.
+struct Room {
+    /// So many daemons, the first ones, ask short questions only.
+    for_short: usize,
+    /// How many more long questions may be asked.
+    long: usize,
+    /// The shortest question that no daemon is free for.
+    used_up: Option<Length>,
+}
+
+impl Room {
+    fn new(askers: &[Asker], now: Duration) -> Self {
+        let live = askers.iter().filter(|a| alive(a, now)).count();
+        let long_now = askers.iter().filter(|a| a.long).count();
+        Self {
+            for_short: if live > 1 { (live / FOR_SHORT).max(1) } else { 0 },
+            long: (live / 2).max(1).saturating_sub(long_now),
+            used_up: None,
+        }
+    }
+
+    /// Whether a daemon may be free for such a question.
+    fn left(&self, cost: Duration) -> bool {
+        let length = Length::of(cost);
+        self.used_up.is_none_or(|u| length < u) && (length < Length::Long || self.long > 0)
+    }
+
+    /// No daemon is free for such a question, and so none for a longer one.
+    fn used_up(&mut self, cost: Duration) {
+        self.used_up = Some(Length::of(cost));
+    }
+
+    /// The daemon with the least to ask that is free for such a question.
+    fn find<'a>(
+        &mut self,
+        askers: &'a mut [Asker],
+        cost: Duration,
+        now: Duration,
+    ) -> Option<&'a mut Asker> {
+        let length = Length::of(cost);
+        let fits = |(n, a): &(usize, &mut Asker)| {
+            let short_only = *n < self.for_short;
+            a.is_free(now)
+                && match length {
+                    Length::Long => !short_only && a.asked.is_zero(),
+                    Length::Middle => !short_only && a.asked < AHEAD,
+                    Length::Short => a.asked < if short_only { AHEAD_SHORT } else { AHEAD },
+                }
+        };
+        let free = askers.iter_mut().enumerate().filter(fits);
+        let (_, asker) = free.min_by_key(|(_, a)| a.asked)?;
+        if length == Length::Long {
+            self.long -= 1;
+        }
+        Some(asker)
+    }
+}
+
 fn alive(a: &Asker, now: Duration) -> bool {
     a.addr.is_none() || now.saturating_sub(a.heard) < FORGET
 }
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -52,6 +52,8 @@
     pub owner_answers: AtomicBool,
     /// The term of this daemon as owner, 0 if it is not.
     pub leads: AtomicU64,
+    /// Whether a daemon was heard of that would be a better owner than a small one.
+    pub better_heard: AtomicBool,
     /// What this daemon spawned.
     pub tasks: TaskTracker,
     /// The daemon stops.
@@ -82,6 +84,7 @@
             owner: watch::Sender::new(None),
             owner_answers: AtomicBool::new(false),
             leads: AtomicU64::new(0),
+            better_heard: AtomicBool::new(false),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
             drain: CancellationToken::new(),
--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -83,7 +83,7 @@
     }
     let here = accept_here(cx, id, job, deadline).await;
     if here == Durable::Yes {
-        tell(cx, Request::Offer { shard: String::new(), job: id, body: Vec::new() });
+        tell(cx, Request::Offer { shard: String::new(), job: id });
     }
     if by_owner == Some(Durable::Unknown) { here.after_unknown() } else { here }
 }
--- a/crates/catkin-node/src/lead/mod.rs
+++ b/crates/catkin-node/src/lead/mod.rs
@@ -34,6 +34,14 @@
 /// A daemon waits for closer ones this many times as long as the table service takes to answer it, and at most so long.
 const FAR_FACTOR: u32 = 4;
 const FAR_MOST: Duration = Duration::from_millis(350);
+/// The processors, in thousandths of a core, with which a daemon can own a cell of some hundred workers.
+const ENOUGH_MILLI: u64 = 200;
+/// How long a daemon with fewer waits for others to take over.
+const SMALL_LAST: Duration = Duration::from_millis(400);
+/// A daemon with fewer owns the cell at least so long before it lets go for another.
+const SMALL_OWNS: Duration = Duration::from_secs(4);
+/// A daemon that the table service has not served for so long does not offer to own the cell.
+const UNSERVED: Duration = Duration::from_secs(2);
 /// For how long an owner that can't write its row still calls itself one.
 const UNCONFIRMED: Duration = Duration::from_millis(700);
 /// How long an owner that answers, and says that it can't write, is given to write after all.
@@ -60,7 +68,7 @@
             if !cx.is_draining() && is_free(&cx, &known.lead, heard) {
                 let busy = heard == Heard::Other && !known.lead.address.is_empty();
                 let grace = if busy { GRACE } else { Duration::ZERO };
-                tokio::time::sleep(grace + far_last(&cx) + jitter()).await;
+                tokio::time::sleep(grace + far_last(&cx) + small_last(&cx) + jitter()).await;
                 known = take_over(&cx, known).await;
                 announce(&cx, &known.lead);
                 heard = Heard::Well;
@@ -95,6 +103,26 @@
     (cx.table.took() * FAR_FACTOR).min(FAR_MOST)
 }
 
+/// The owner's work needs more than the smallest daemons have.
+fn small_last(cx: &Cx) -> Duration {
+    if is_small(cx) { SMALL_LAST } else { Duration::ZERO }
+}
+
+fn is_small(cx: &Cx) -> bool {
+    processors_milli(cx) < ENOUGH_MILLI
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a share of a core")]
+fn processors_milli(cx: &Cx) -> u64 {
+    (cx.cfg.daemon.processors * 1_000.0) as u64
+}
+
+/// Whether the daemon of a beat would be a better owner than a small one.
+#[must_use]
+pub fn is_better(beat: &Beat) -> bool {
+    !beat.draining && beat.processors_milli >= ENOUGH_MILLI
+}
+
 /// Daemons that find the cell free at the same time do not all write at once.
 fn jitter() -> Duration {
     Duration::from_millis(rand::rng().random_range(0..60))
@@ -135,6 +163,7 @@
         draining: cx.is_draining(),
         address: cx.peer_address(),
         leads: cx.leads.load(Ordering::Relaxed),
+        processors_milli: if cx.table.unserved() < UNSERVED { processors_milli(cx) } else { 0 },
         ..Beat::default()
     }
 }
@@ -254,7 +283,8 @@
     };
     let owner = Owner::start(Arc::clone(cx), epoch, loaded).await;
     cx.owner.send_replace(Some(owner.clone()));
-    let mut confirmed = cx.now();
+    let since = cx.now();
+    let mut confirmed = since;
     let end = loop {
         tokio::select! {
             () = tokio::time::sleep(RENEW) => {}
@@ -267,6 +297,11 @@
         if cx.is_draining() {
             break release(cx, known).await;
         }
+        let better = cx.better_heard.swap(false, Ordering::Relaxed);
+        if better && is_small(cx) && cx.now().saturating_sub(since) > SMALL_OWNS {
+            tracing::info!(epoch, "lead: let go, for a daemon with more processors");
+            break release(cx, known).await;
+        }
         match renew(cx, &mut known).await {
             Renewed::Mine => confirmed = cx.now(),
             Renewed::Other(other) => break other,
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -39,7 +39,7 @@
     fn ask_around(&mut self, now: Duration) {
         let cell = &self.cell;
         self.askers.retain(|a| cell.is_open(a.step.job));
-        while let Some((ask, by)) = self.askers.next(now) {
+        for (ask, by) in self.askers.hand_out(now) {
             let (cx, me) = (std::sync::Arc::clone(&self.cx), self.me.clone());
             self.spawn(async move {
                 let sent = cx.now();
--- a/crates/catkin-node/src/peers.rs
+++ b/crates/catkin-node/src/peers.rs
@@ -10,6 +10,7 @@
 use catkin_schema::peer::{Refused, Request, Response};
 use catkin_types::{Code, JobId};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -31,6 +32,9 @@
 pub async fn answer(cx: &Arc<Cx>, req: Request) -> Response {
     match req {
         Request::Beat(beat) => {
+            if lead::is_better(&beat) {
+                cx.better_heard.store(true, Ordering::Relaxed);
+            }
             if let (Some(owner), Ok(addr)) = (cx.owner.borrow().clone(), beat.address.parse()) {
                 owner.tell(Message::Heard(addr, beat.draining));
             }
--- a/crates/catkin-node/src/settings/mod.rs
+++ b/crates/catkin-node/src/settings/mod.rs
@@ -42,6 +42,13 @@
     pub zone: String,
     /// Its region.
     pub region: String,
+    /// Its share of a processor.
+    #[serde(default = "one")]
+    pub processors: f64,
+}
+
+const fn one() -> f64 {
+    1.0
 }
 
 /// Where the daemon listens.
--- a/crates/catkin-schema/src/peer/decode.rs
+++ b/crates/catkin-schema/src/peer/decode.rs
@@ -33,7 +33,7 @@
             request::Offer(x) => {
                 let x = x?;
                 let shard = x.get_shard()?.to_string()?;
-                Self::Offer { shard, job: x.get_job(), body: x.get_body()?.to_vec() }
+                Self::Offer { shard, job: x.get_job() }
             }
             request::Cancel(x) => {
                 let x = x?;
@@ -107,6 +107,7 @@
             shards: r.get_shards()?.iter().map(Aggregate::decode).collect::<Result<_, _>>()?,
             address: r.get_address()?.to_string()?,
             leads: r.get_leads(),
+            processors_milli: r.get_processors_milli(),
         })
     }
 }
--- a/crates/catkin-schema/src/peer/encode.rs
+++ b/crates/catkin-schema/src/peer/encode.rs
@@ -24,11 +24,10 @@
                 b.set_id(x.id);
                 b.set_healthy(x.healthy);
             }
-            Self::Offer { shard, job, body } => {
+            Self::Offer { shard, job } => {
                 let mut b = b.init_offer();
                 b.set_shard(shard);
                 b.set_job(*job);
-                b.set_body(body);
             }
             Self::Cancel { shard, jobs } => {
                 let mut b = b.init_cancel();
@@ -98,6 +97,7 @@
         b.set_draining(self.draining);
         b.set_address(&self.address);
         b.set_leads(self.leads);
+        b.set_processors_milli(self.processors_milli);
         let mut list = b.init_shards(len(&self.shards));
         (0..).zip(&self.shards).for_each(|(i, s)| s.encode(list.reborrow().get(i)));
     }
--- a/crates/catkin-schema/src/peer/mod.rs
+++ b/crates/catkin-schema/src/peer/mod.rs
@@ -25,8 +25,6 @@
         shard: ShardId,
         /// The job.
         job: JobId,
-        /// The job as it was stored, empty if it has to be read.
-        body: Vec<u8>,
     },
     /// Tells the owner of a shard that jobs were cancelled.
     Cancel {
@@ -113,6 +111,8 @@
     pub address: String,
     /// The term in which it owns the cell, 0 if it does not.
     pub leads: Epoch,
+    /// The processors that it has for owning the cell, in thousandths of a core; 0 if it can't write now.
+    pub processors_milli: u64,
 }
 
 /// What an owner says of a shard.
--- a/crates/catkin-schema/tests/schema/peer.rs
+++ b/crates/catkin-schema/tests/schema/peer.rs
@@ -25,6 +25,7 @@
         shards: vec![shard],
         address: "10.0.0.1:7720".into(),
         leads: 12,
+        processors_milli: 250,
     }
 }
 
@@ -42,7 +43,7 @@
         Request::PullLimits(7),
         Request::Acquire(acquire),
         Request::Release(Release { shard: "s".into(), id: 1, healthy: true }),
-        Request::Offer { shard: "s".into(), job: 2, body: b"{}".to_vec() },
+        Request::Offer { shard: "s".into(), job: 2 },
         Request::Cancel { shard: "s".into(), jobs: vec![1, 2, 3] },
         Request::JobStatus(4),
         Request::Explain(5),
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -25,7 +25,7 @@
     look @10 :Void;             # shards changed: read them now
     waiting @11 :Text;          # the queue
     advise @12 :Advise;
-    store @13 :Offer;           # store a job for a daemon that the table refuses
+    store @13 :Store;           # store a job for another daemon
     withdraw @14 :UInt64;       # make it durable that a job is cancelled
   }
 }
@@ -52,6 +52,7 @@
   shards @4 :List(Aggregate);
   address @5 :Text;             # where the daemon takes calls, if it has to be told
   leads @6 :UInt64;             # the term in which it owns the cell, 0 if it does not
+  processorsMilli @7 :UInt64;   # what it has for owning the cell, in thousandths of a core; 0 if it can't write now
 }
 
 struct Aggregate {
@@ -89,7 +90,11 @@
 struct Offer {
   shard @0 :Text;
   job @1 :UInt64;
-  body @2 :Data;                # the job as it was stored, empty if it has to be read
+}
+
+struct Store {
+  job @0 :UInt64;
+  body @1 :Data;                # the job, as JSON
 }
 
 struct Advise {
