A question to the adviser names as many workers as the step needs

Cause: every step was asked about all workers, a hundred at a time: with 350 workers four calls of up to 1.1 s, and 200 questions waited. Now the first question names 48 or as many as hold 1.5 times the step by the share that may run the queue's steps (learned), those with the most room first; another follows only when room is lacking. The test of the small step fails on the code before.

--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -1,16 +1,27 @@
 //! Advice: which workers may run a step.
 
 use super::Cell;
+use super::place::times;
 use crate::action::{Action, Ask};
-use crate::step::Ticket;
+use crate::job::Step;
+use crate::step::{StepState, Ticket};
 use crate::task::StepRef;
-use crate::worker::No;
+use crate::worker::{No, Set};
 use catkin_types::WorkerId;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
 /// One call names at most this many workers.
 const MOST_NAMED: usize = 100;
+/// The first call about a step names at least this many, if there are so many.
+const LEAST_NAMED: usize = 48;
+/// How many times the room that a step needs is to be had on the workers that may run it.
+const SPARE: f64 = 1.5;
+/// The share of workers that may run the steps of a queue is taken to be this, until it is known.
+const GOOD_SHARE: f64 = 0.5;
+/// The share is that of about so many recent answers.
+const SHARE_MEMORY: f64 = 8.0;
 /// How long the adviser is left alone about a step after it declined.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
 
@@ -40,13 +51,66 @@
             step.ask_after = now + ASK_AGAIN;
             return;
         };
-        ask.workers.iter().filter_map(|id| numbers.get(id)).for_each(|no| step.asked.insert(*no));
+        let nos = || ask.workers.iter().filter_map(|id| numbers.get(id));
+        let (fresh, found) = (nos().filter(|no| !step.asked.contains(**no)).count(), rows.len());
+        nos().for_each(|no| step.asked.insert(*no));
         let good = step.good.get_or_insert_with(HashMap::new);
         for (id, text) in rows {
             if let Some(no) = numbers.get(&id) {
                 good.insert(*no, Ticket { text, valid_until: answered + valid });
             }
         }
+        if fresh == ask.workers.len() {
+            self.note_share(ask.step, found, fresh);
+        }
+    }
+
+    /// Learns which share of the workers may run the steps of a queue.
+    fn note_share(&mut self, r: StepRef, good: usize, asked: usize) {
+        let Some(j) = self.jobs.get(&r.job).filter(|_| asked > 0) else { return };
+        let share = self.good_shares.entry(j.job.queue.clone()).or_insert(GOOD_SHARE);
+        let seen = as_f64(good as u64) / as_f64(asked as u64);
+        *share += (seen - *share) / SHARE_MEMORY;
+    }
+
+    /// The workers to ask about next: those with the most room, as many as are likely to have enough for the step
+    /// among them; none if those that are known have.
+    pub(super) fn to_ask(
+        &self,
+        step: &StepState,
+        kind: &Step,
+        eligible: &Set,
+        queue: &str,
+    ) -> Vec<No> {
+        let room = kind.room();
+        let cap = if kind.max_per_worker > 0 { u64::from(kind.max_per_worker) } else { u64::MAX };
+        let holds = |no: No| as_f64(times(&self.worker(no).host.capacity, &room).min(cap));
+        let free = |no: No| times(&self.worker(no).free(), &room).min(cap);
+        let known = step.good.iter().flat_map(HashMap::keys).copied();
+        let known: f64 = known.filter(|no| eligible.contains(*no)).map(holds).sum();
+        let mut needed = as_f64(step.undone as u64) * SPARE;
+        let first = step.good.is_none();
+        // What a gang lacks is workers that can hold it; others take what has room now.
+        if kind.gang {
+            needed -= known;
+        }
+        let fresh = eligible.iter().filter(|no| !step.asked.contains(*no));
+        let mut fresh: Vec<(u64, No)> = fresh.map(|no| (free(no), no)).collect();
+        if !(first || kind.gang) {
+            fresh.retain(|(free, _)| *free > 0);
+        }
+        fresh.sort_by_key(|(free, no)| (Reverse(*free), *no));
+        let share = self.good_shares.get(queue).copied().unwrap_or(GOOD_SHARE);
+        let mut named = Vec::new();
+        for (_, no) in fresh {
+            let enough = needed <= 0.0 && (!first || named.len() >= LEAST_NAMED);
+            if enough || named.len() >= MOST_NAMED {
+                break;
+            }
+            needed -= holds(no) * share;
+            named.push(no);
+        }
+        named
     }
 
     /// Asks about workers, and names them as those on which the step may be started.
@@ -78,3 +142,8 @@
         }
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "counts of workers and tasks")]
+fn as_f64(n: u64) -> f64 {
+    n as f64
+}
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -99,6 +99,8 @@
     fleet: Fleet,
     /// The size of recent urgent tasks.
     urgent_size: Resources,
+    /// The share of workers that may run the steps of each queue, as the adviser said lately.
+    good_shares: HashMap<String, f64>,
     counts: Counts,
 }
 
@@ -163,6 +165,7 @@
             settled: HashSet::new(),
             fleet,
             urgent_size: Resources::default(),
+            good_shares: HashMap::new(),
             counts: Counts::default(),
         }
     }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -43,7 +43,9 @@
         let mut order: Vec<_> = self
             .open
             .iter()
-            .filter(|r| self.step(**r).is_some_and(|s| s.asking_since.is_none()))
+            .filter(|r| {
+                self.step(**r).is_some_and(|s| s.asking_since.is_none() || s.good.is_some())
+            })
             .map(|r| (self.rank(*r, now), *r))
             .collect();
         order.sort_unstable();
@@ -69,17 +71,11 @@
         }
         let eligible = self.eligible(r, kind, pass, now);
         let advised = self.queue_advice(r);
-        if advised && !step.asked.covers(&eligible) {
-            let known = step.good.is_some();
-            let fresh: Vec<No> = eligible.iter().filter(|no| !step.asked.contains(*no)).collect();
-            self.ask(r, fresh, now, out);
-            if !known {
-                return;
-            }
+        if advised && step.good.is_none() {
+            let unknown = self.to_ask(step, kind, &eligible, &j.job.queue);
+            self.ask(r, unknown, now, out);
+            return;
         }
-        let Some(j) = self.jobs.get(&r.job) else { return };
-        let Some(kind) = j.job.steps.get(r.step as usize) else { return };
-        let Some(step) = j.step(r) else { return };
         let candidates = self.candidates(r, kind, &eligible, advised, pass);
         let waiting: Vec<u32> = step.waiting().collect();
         let plan = if kind.gang {
@@ -87,6 +83,11 @@
         } else {
             self.plan_tasks(kind, &waiting, candidates)
         };
+        let more = if advised && plan.len() < waiting.len() {
+            self.to_ask(step, kind, &eligible, &j.job.queue)
+        } else {
+            Vec::new()
+        };
         if !plan.is_empty() {
             let kind = kind.clone();
             self.reserve(r, &kind, plan, now);
@@ -94,6 +95,7 @@
             pass.gangs += 1;
             self.keep_room(kind, step, &eligible, pass);
         }
+        self.ask(r, more, now, out);
     }
 
     /// Whether nothing of the step can run unknown to this owner.
@@ -315,7 +317,7 @@
 }
 
 /// How many times `size` fits into `room`.
-fn times(room: &Resources, size: &Resources) -> u64 {
+pub(super) fn times(room: &Resources, size: &Resources) -> u64 {
     let pairs = room.as_array().into_iter().zip(size.as_array());
     pairs.filter(|(_, s)| *s > 0).map(|(r, s)| r / s).min().unwrap_or(u64::from(u32::MAX))
 }
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -185,12 +185,6 @@
         self.words.get(no.index() / 64).is_some_and(|w| w & (1 << (no.index() % 64)) != 0)
     }
 
-    /// Whether every worker of `other` is in this set.
-    pub(crate) fn covers(&self, other: &Self) -> bool {
-        let own = self.words.iter().copied().chain(std::iter::repeat(0));
-        other.words.iter().zip(own).all(|(o, w)| o & !w == 0)
-    }
-
     pub(crate) fn iter(&self) -> impl Iterator<Item = No> + '_ {
         (0u32..).zip(&self.words).flat_map(|(i, w)| {
             (0..64).filter(move |b| w & (1 << b) != 0).map(move |b| No(i * 64 + b))
--- /dev/null
+++ b/crates/catkin-cell/tests/cell/advice.rs
@@ -0,0 +1,51 @@
+//! Which workers the adviser is asked about.
+
+use crate::owner::step;
+use crate::world::World;
+use catkin_cell::State;
+use catkin_cell::job::Step;
+use std::time::Duration;
+
+const WORKERS: usize = 300;
+const GOOD_ONE_IN: u64 = 4;
+
+fn world(seed: u64) -> World {
+    let mut w = World::new(seed, WORKERS, true);
+    w.good_one_in = GOOD_ONE_IN;
+    w.take_over(None);
+    w.run(Duration::from_secs(2));
+    w
+}
+
+fn ends_well(w: &mut World) {
+    w.run(Duration::from_secs(40));
+    assert_eq!(w.broken, Vec::<String>::new());
+    assert!(w.all_ended(), "{}", w.explain());
+    assert!(w.ended.values().all(|s| *s == State::Completed));
+}
+
+#[test]
+fn a_small_step_is_asked_for_once_and_names_few_workers() {
+    let mut w = world(3);
+    w.accept(1, vec![step(3, 1_000, 300)]);
+    ends_well(&mut w);
+    assert_eq!(w.questions.len(), 1, "{:?}", w.questions);
+    assert!(w.questions[0] <= 60, "{:?}", w.questions);
+}
+
+#[test]
+fn a_wide_gang_finds_enough_workers() {
+    let mut w = world(5);
+    // It takes 60 of the 75 or so workers that may run it.
+    w.accept(1, vec![Step { gang: true, ..step(60, 3_500, 500) }]);
+    ends_well(&mut w);
+}
+
+#[test]
+fn tasks_find_room_beyond_the_workers_that_were_asked_about_first() {
+    let mut w = world(7);
+    // 40 workers have room for one of these tasks each when the others run: fewer than one in four of 48 may.
+    w.accept(1, vec![Step { max_per_worker: 1, ..step(40, 3_500, 2_000) }]);
+    ends_well(&mut w);
+    assert!(w.now < Duration::from_secs(9), "{:?}", w.now);
+}
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner of a cell.
 
+mod advice;
 mod faults;
 mod owner;
 mod worker;
--- a/crates/catkin-cell/tests/cell/world.rs
+++ b/crates/catkin-cell/tests/cell/world.rs
@@ -86,6 +86,10 @@
     doubtful: Vec<(Task, BTreeSet<u32>, usize, String)>,
     cancelled: HashSet<JobId>,
     pub starts: u64,
+    /// How many workers each question named.
+    pub questions: Vec<usize>,
+    /// One worker of so many may run a step, by the adviser's word.
+    pub good_one_in: u64,
     pub broken: Vec<String>,
 }
 
@@ -128,6 +132,8 @@
             doubtful: Vec::new(),
             cancelled: HashSet::new(),
             starts: 0,
+            questions: Vec::new(),
+            good_one_in: 1,
             broken: Vec::new(),
         }
     }
@@ -456,11 +462,24 @@
                     None => o.cell.not_seen(no),
                 }
             }),
-            Event::Advised(ask, epoch, well) => self.with(epoch, |o, _| {
-                let good = ask.workers.iter().map(|w| (w.clone(), "t".to_owned())).collect();
-                let advised = if well { Advised::Good(good) } else { Advised::Nothing };
-                o.cell.advised(&ask, advised, now, now);
-            }),
+            Event::Advised(ask, epoch, well) => {
+                let step = ask.step.job + u64::from(ask.step.step);
+                let (seed, one_in) = (step.wrapping_mul(0x9E37_79B9_7F4A_7C15), self.good_one_in);
+                let may = |w: &&String| {
+                    let n: u64 = w.bytes().map(u64::from).fold(seed, |a, b| a.wrapping_mul(31) + b);
+                    n.is_multiple_of(one_in)
+                };
+                self.with(epoch, |o, _| {
+                    let good = ask
+                        .workers
+                        .iter()
+                        .filter(may)
+                        .map(|w| (w.clone(), "t".to_owned()))
+                        .collect();
+                    let advised = if well { Advised::Good(good) } else { Advised::Nothing };
+                    o.cell.advised(&ask, advised, now, now);
+                });
+            }
             Event::Written(epoch, batch) => self.write(epoch, &batch),
         }
     }
@@ -536,6 +555,7 @@
                 Action::Start(s) => self.send_start(s, epoch),
                 Action::Stop(s) => self.send_stop(s, epoch),
                 Action::Ask(ask) => {
+                    self.questions.push(ask.workers.len());
                     let well = !self.chance(self.trouble.answer_lost);
                     let when = self.now + ask.cost + self.delay();
                     self.at(when, Event::Advised(ask, epoch, well));
