Gangs ask about further workers that have room

Cause: a gang asked on only until 1.5 times its members fitted the known workers when empty; those were never free together, while others had room (gang of 29 with 23 workers known waited 50 s and was LOST at the end).

--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -74,7 +74,7 @@
     }
 
     /// The workers to ask about next: those with the most room, as many as are likely to have enough for the step
-    /// among them; none if those that are known have.
+    /// among them. After the first answer only workers that have room now are worth a question.
     pub(super) fn to_ask(
         &self,
         step: &StepState,
@@ -84,30 +84,23 @@
     ) -> Vec<No> {
         let room = kind.room();
         let cap = if kind.max_per_worker > 0 { u64::from(kind.max_per_worker) } else { u64::MAX };
-        let holds = |no: No| as_f64(times(&self.worker(no).host.capacity, &room).min(cap));
         let free = |no: No| times(&self.worker(no).free(), &room).min(cap);
-        let known = step.good.iter().flat_map(HashMap::keys).copied();
-        let known: f64 = known.filter(|no| eligible.contains(*no)).map(holds).sum();
-        let mut needed = as_f64(step.undone as u64) * SPARE;
+        let good = step.good.iter().flat_map(HashMap::keys).copied();
+        let known: u64 = good.filter(|no| eligible.contains(*no)).map(free).sum();
+        let mut needed = as_f64(step.undone as u64) * SPARE - as_f64(known);
         let first = step.good.is_none();
-        // What a gang lacks is workers that can hold it; others take what has room now.
-        if kind.gang {
-            needed -= known;
-        }
         let fresh = eligible.iter().filter(|no| !step.asked.contains(*no));
         let mut fresh: Vec<(u64, No)> = fresh.map(|no| (free(no), no)).collect();
-        if !(first || kind.gang) {
-            fresh.retain(|(free, _)| *free > 0);
-        }
+        fresh.retain(|(free, _)| first || *free > 0);
         fresh.sort_by_key(|(free, no)| (Reverse(*free), *no));
         let share = self.good_shares.get(queue).copied().unwrap_or(GOOD_SHARE);
         let mut named = Vec::new();
-        for (_, no) in fresh {
+        for (free, no) in fresh {
             let enough = needed <= 0.0 && (!first || named.len() >= LEAST_NAMED);
             if enough || named.len() >= MOST_NAMED {
                 break;
             }
-            needed -= holds(no) * share;
+            needed -= as_f64(free) * share;
             named.push(no);
         }
         named
