Metrics of a node on its own port; a line for each start of a step, failure, loss and end; a budget of log lines

The cell notes what it decides (Note), the owner logs and counts that. The plumbing of metrics moved to catkin-metrics, one copy for both daemons.

--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -46,7 +46,8 @@
         let Some(step) = jobs.get_mut(&ask.step.job).and_then(|j| j.step_mut(ask.step)) else {
             return;
         };
-        step.asking_since = None;
+        let asked_at = step.asking_since.take();
+        step.advice_took += asked_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let Advised::Good(rows) = advised else {
             step.ask_after = now + ASK_AGAIN;
             return;
--- a/crates/catkin-cell/src/cell/gang.rs
+++ b/crates/catkin-cell/src/cell/gang.rs
@@ -2,6 +2,7 @@
 
 use super::Cell;
 use crate::action::Action;
+use crate::note::Note;
 use crate::task::StepRef;
 use crate::worker::Phase;
 use std::time::Duration;
@@ -39,6 +40,7 @@
     pub(super) fn give_gang_up(&mut self, r: StepRef, out: &mut Vec<Action>) {
         if self.assembling.remove(&r) || self.reserved.remove(&r) {
             self.counts.gangs_given_up += 1;
+            self.notes.push(Note::GangGivenUp(r));
         }
         self.stop_step(r, out);
         self.refresh(r);
--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -3,6 +3,7 @@
 use super::Cell;
 use crate::action::{Action, Loaded, Stop};
 use crate::job::{Job, State, Step};
+use crate::note::Note;
 use crate::progress::Progress;
 use crate::queue::Queue;
 use crate::step::{JobState, StepState};
@@ -13,6 +14,8 @@
 
 /// The size of urgent tasks is that of about so many recent ones.
 const SIZE_MEMORY: u64 = 16;
+/// So many tasks of a step are explained.
+const EXPLAINED: usize = 8;
 /// How many workers the call for advice of each step is reckoned for in the objective of a job.
 const OBJECTIVE_WORKERS: usize = 30;
 
@@ -110,8 +113,8 @@
                 let phase = held.map(|h| (h.phase, h.run, h.since));
                 format!("{i}: run {} failed {} done {} at {at:?} {phase:?}", t.run, t.failed, t.done)
             };
-            let tasks: Vec<String> =
-                (0..).zip(&s.tasks).filter(|(_, t)| !t.done).map(task).collect();
+            let open = (0..).zip(&s.tasks).filter(|(_, t)| !t.done);
+            let tasks: Vec<String> = open.take(EXPLAINED).map(task).collect();
             Some(format!(
                 "step {} open {} reserved {} assembling {} intent {} run {} asking {:?} unsettled {:?} good {:?}: {}",
                 r.step,
@@ -141,6 +144,12 @@
         self.jobs.iter().min_by_key(|(id, j)| (j.accepted, **id)).map(|(id, _)| *id)
     }
 
+    /// The queue of an open job.
+    #[must_use]
+    pub fn queue_of(&self, id: JobId) -> Option<&str> {
+        Some(&self.jobs.get(&id)?.job.queue)
+    }
+
     /// How many jobs of a queue wait for their first start.
     #[must_use]
     pub fn waiting(&self, queue: &str) -> u64 {
@@ -174,11 +183,14 @@
 
     /// Ends the job in `state`: stops what runs and has the end made durable.
     pub(super) fn conclude(&mut self, id: JobId, state: State, out: &mut Vec<Action>) {
+        let now = self.now;
         let Some(j) = self.jobs.get_mut(&id) else { return };
         if j.outcome.is_some() {
             return;
         }
         j.outcome = Some(state);
+        let age = now.saturating_sub(j.accepted);
+        self.notes.push(Note::Ended { job: id, state, age, late: now > j.due });
         let refs = j.refs(id);
         for r in refs {
             self.open.remove(&r);
--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -2,6 +2,7 @@
 
 use super::Cell;
 use crate::action::{Action, Start};
+use crate::note::Note;
 use crate::task::{StepRef, Task};
 use crate::worker::{No, Phase, millis};
 use catkin_types::WorkerId;
@@ -46,6 +47,7 @@
             return;
         }
         self.reserved.remove(&r);
+        self.note_started(r, run, reserved.len(), workers.len(), now);
         if self.is_gang(r) {
             if let Some(step) = self.step_mut(r) {
                 step.launched_at = Some(now);
@@ -57,6 +59,21 @@
         }
     }
 
+    fn note_started(&mut self, r: StepRef, run: u32, tasks: usize, workers: usize, now: Duration) {
+        let Some(j) = self.jobs.get(&r.job) else { return };
+        let Some(step) = j.step(r) else { return };
+        self.notes.push(Note::Started {
+            step: r,
+            run,
+            tasks,
+            workers,
+            first: !j.steps.iter().any(|s| s.begun),
+            age: now.saturating_sub(j.accepted),
+            slack: j.due.saturating_sub(step.tail + now),
+            advice: step.advice_took,
+        });
+    }
+
     fn reserved_tasks(&self, r: StepRef) -> Vec<(Task, No, u32)> {
         let Some(step) = self.step(r) else { return Vec::new() };
         let held = (0..).zip(&step.tasks).filter_map(|(i, t)| {
--- a/crates/catkin-cell/src/cell/looks.rs
+++ b/crates/catkin-cell/src/cell/looks.rs
@@ -3,6 +3,7 @@
 use super::Cell;
 use crate::action::{Action, Stop};
 use crate::job::State;
+use crate::note::Note;
 use crate::task::{StepRef, Task};
 use crate::worker::{Ended, Held, How, No, Phase, Running, Seen, Unacknowledged};
 use catkin_types::JobId;
@@ -110,10 +111,11 @@
             }
             How::Failed if !kind.long_running => {
                 self.judge(no, task, false, now);
-                Some(self.failed(task, end.run, kind.gang, out))
+                Some(self.failed(task, end.run, no, kind.gang, out))
             }
             How::Alone => {
                 self.counts.gangs_given_up += 1;
+                self.notes.push(Note::GangGivenUp(task.step));
                 None
             }
             _ => None,
@@ -162,7 +164,14 @@
         (r.job, version)
     }
 
-    fn failed(&mut self, task: Task, run: u32, gang: bool, out: &mut Vec<Action>) -> (JobId, u64) {
+    fn failed(
+        &mut self,
+        task: Task,
+        run: u32,
+        worker: No,
+        gang: bool,
+        out: &mut Vec<Action>,
+    ) -> (JobId, u64) {
         let r = task.step;
         let most = self
             .jobs
@@ -181,6 +190,7 @@
             failures = t.failed;
         }
         self.counts.failed += 1;
+        self.notes.push(Note::Failed { task, run, worker, times: failures, most });
         let version = self.mark(r.job);
         if failures >= most {
             self.conclude(r.job, State::Failed, out);
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::action::Action;
 use crate::job::State;
+use crate::note::Note;
 use crate::queue::Queue;
 use crate::step::{JobState, StepState};
 use crate::task::{StepRef, Task};
@@ -80,6 +81,8 @@
     opt: Options,
     epoch: Epoch,
     started: Duration,
+    /// The time of the last tick.
+    now: Duration,
     queues: BTreeMap<String, Queue>,
     /// By number.
     workers: Vec<Worker>,
@@ -101,6 +104,9 @@
     urgent_size: Resources,
     /// The share of workers that may run the steps of each queue, as the adviser said lately.
     good_shares: HashMap<String, f64>,
+    /// Workers that were left out when that was last looked at.
+    left_out: HashSet<No>,
+    notes: Vec<Note>,
     counts: Counts,
 }
 
@@ -153,6 +159,7 @@
             opt,
             epoch,
             started: now,
+            now,
             queues: BTreeMap::new(),
             workers: Vec::new(),
             numbers: HashMap::new(),
@@ -166,6 +173,8 @@
             fleet,
             urgent_size: Resources::default(),
             good_shares: HashMap::new(),
+            left_out: HashSet::new(),
+            notes: Vec::new(),
             counts: Counts::default(),
         }
     }
@@ -214,14 +223,21 @@
 
     /// Does what is due at `now`: orders that got no answer, leases that ran out, and starts.
     pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.now = now;
         self.expire(now);
         self.stop_again(now, out);
         self.check_gangs(now, out);
         self.drop_reservations(now);
+        self.note_left_out(now);
         self.schedule(now, out);
         self.forget(now);
     }
 
+    /// Takes what was decided and seen since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     fn worker(&self, no: No) -> &Worker {
         &self.workers[no.index()]
     }
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -1,6 +1,7 @@
 //! Workers: listed, missing, silent, born again.
 
 use super::Cell;
+use crate::note::Note;
 use crate::task::Task;
 use crate::worker::{Listed, No, Worker, millis};
 use catkin_place::health::Standing;
@@ -151,6 +152,18 @@
         }
     }
 
+    /// Notes which workers are left out, and which no longer.
+    pub(super) fn note_left_out(&mut self, now: Duration) {
+        for no in self.nos() {
+            let standing = self.fleet.standing(&self.worker(no).listed.id, now);
+            let out = standing == Standing::Quarantined;
+            let changed = if out { self.left_out.insert(no) } else { self.left_out.remove(&no) };
+            if changed {
+                self.notes.push(Note::LeftOut { worker: no, out });
+            }
+        }
+    }
+
     /// The task is gone from the worker without an end of its own.
     pub(super) fn lost(&mut self, task: Task, worker: No) {
         let here = self
@@ -159,6 +172,7 @@
             .is_some_and(|t| t.at == Some(worker));
         if here {
             self.counts.lost += 1;
+            self.notes.push(Note::Lost { task, worker });
             self.unplace(task);
         }
     }
--- a/crates/catkin-cell/src/lib.rs
+++ b/crates/catkin-cell/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod action;
 pub mod cell;
 pub mod job;
+pub mod note;
 pub mod progress;
 pub mod queue;
 pub mod step;
@@ -16,6 +17,7 @@
 pub use action::{Action, Ask, Start, Stop, Write};
 pub use cell::{Cell, Options};
 pub use job::{Job, State};
+pub use note::Note;
 pub use progress::Progress;
 pub use queue::Queue;
 pub use task::{StepRef, Task};
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -47,6 +47,8 @@
     pub asked: Set,
     /// Since when the adviser has been asked.
     pub asking_since: Option<Duration>,
+    /// For how long the adviser was asked so far.
+    pub advice_took: Duration,
     /// When the adviser may be asked again.
     pub ask_after: Duration,
     /// No run above this is durable.
--- a/crates/catkin-daemon/src/daemon.rs
+++ b/crates/catkin-daemon/src/daemon.rs
@@ -194,11 +194,11 @@
 fn observe(cx: &Arc<Cx>, peering: &Peering) {
     for link in [Link::Zone, Link::Region, Link::BetweenRegions] {
         let counts = peering.traffic.of(link);
-        let label = Some(("link", link.to_string()));
+        let label = ("link", link.to_string());
+        let label = Some(&label);
         let received = Arc::clone(&counts);
-        cx.metrics.observe("catkin_peer_sent_bytes", label.clone(), move || {
-            counts.sent.load(Ordering::Relaxed)
-        });
+        cx.metrics
+            .observe("catkin_peer_sent_bytes", label, move || counts.sent.load(Ordering::Relaxed));
         cx.metrics.observe("catkin_peer_received_bytes", label, move || {
             received.received.load(Ordering::Relaxed)
         });
--- a/crates/catkin-daemon/src/metrics/mod.rs
+++ b/crates/catkin-daemon/src/metrics/mod.rs
@@ -1,24 +1,19 @@
 //! Metrics, and the page from which they are scraped. `docs/OPERATIONS.md` has the names.
 
 use crate::Error;
+use catkin_metrics::{Counter, Histogram, Instruments};
 use error_stack::{Report, ResultExt};
-use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 use std::time::Duration;
 
 /// The instruments of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
-    meter: Meter,
-    wait: Histogram<f64>,
-    answers: Counter<u64>,
-    placements: Counter<u64>,
-    lost: Counter<u64>,
-    takeovers: Counter<u64>,
+    all: Instruments,
+    wait: Histogram,
+    answers: Counter,
+    placements: Counter,
+    lost: Counter,
+    takeovers: Counter,
 }
 
 /// The bounds of the waiting-time buckets, in seconds.
@@ -31,81 +26,62 @@
     /// # Errors
     /// The exporter refused its registry.
     pub fn new() -> Result<Self, Report<Error>> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .change_context(Error::Metrics)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("catkincart");
-        let wait = meter
-            .f64_histogram("catkin_wait_seconds")
-            .with_boundaries(WAIT_BOUNDS.to_vec())
-            .build();
-        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let all = Instruments::new("catkincart").change_context(Error::Metrics)?;
         Ok(Self {
-            wait,
-            answers: counter("catkin_answers"),
-            placements: counter("catkin_placements"),
-            lost: counter("catkin_tasks_lost"),
-            takeovers: counter("catkin_takeovers"),
-            registry,
-            provider,
-            meter,
+            wait: all.histogram("catkin_wait_seconds", &WAIT_BOUNDS),
+            answers: all.counter("catkin_answers"),
+            placements: all.counter("catkin_placements"),
+            lost: all.counter("catkin_tasks_lost"),
+            takeovers: all.counter("catkin_takeovers"),
+            all,
         })
     }
 
     /// Notes how long work of a row waited before it started.
     pub fn waited(&self, row: &str, wait: Duration) {
-        self.wait.record(wait.as_secs_f64(), &[KeyValue::new("row", row.to_owned())]);
+        self.wait.record(wait, &[("row", row)]);
     }
 
     /// Notes an answer to a caller.
     pub fn answered(&self, row: &str, code: u16) {
-        let labels = [KeyValue::new("row", row.to_owned()), KeyValue::new("code", i64::from(code))];
-        self.answers.add(1, &labels);
+        self.answers.add(&[("row", row), ("code", &code.to_string())]);
     }
 
     /// Notes the start of a task.
     pub fn placed(&self, row: &str) {
-        self.placements.add(1, &[KeyValue::new("row", row.to_owned())]);
+        self.placements.add(&[("row", row)]);
     }
 
     /// Notes a task that has to run again.
     pub fn task_lost(&self, row: &str) {
-        self.lost.add(1, &[KeyValue::new("row", row.to_owned())]);
+        self.lost.add(&[("row", row)]);
     }
 
     /// Notes that a shard was taken over.
     pub fn takeover(&self) {
-        self.takeovers.add(1, &[]);
+        self.takeovers.add(&[]);
     }
 
     /// A counter whose value is asked for when the page is read.
     pub fn observe(
         &self,
         name: &'static str,
-        label: Option<(&'static str, String)>,
+        label: Option<&(&'static str, String)>,
         f: impl Fn() -> u64 + Send + Sync + 'static,
     ) {
-        let labels: Vec<KeyValue> = label.into_iter().map(|(k, v)| KeyValue::new(k, v)).collect();
-        let callback =
-            move |o: &dyn opentelemetry::metrics::AsyncInstrument<u64>| o.observe(f(), &labels);
-        let _ = self.meter.u64_observable_gauge(name).with_callback(callback).build();
+        let label: Vec<(&'static str, &str)> =
+            label.into_iter().map(|(k, v)| (*k, v.as_str())).collect();
+        self.all.observe(name, &label, f);
     }
 
     /// The page.
     #[must_use]
     pub fn page(&self) -> String {
-        let mut buf = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
-            tracing::error!("metrics: page failed: {e}");
-        }
-        String::from_utf8_lossy(&buf).into_owned()
+        self.all.page()
     }
 
     /// Ends the export.
     pub fn shutdown(&self) {
-        let _ = self.provider.shutdown();
+        self.all.shutdown();
     }
 }
--- a/crates/catkin-node/src/asks/mod.rs
+++ b/crates/catkin-node/src/asks/mod.rs
@@ -31,7 +31,15 @@
     workers: &[WorkerId],
     wait: Duration,
 ) -> Result<Vec<(WorkerId, String)>, Error> {
-    cx.adviser.ask(r, workers, wait).await
+    let sent = cx.now();
+    let answer = cx.adviser.ask(r, workers, wait).await;
+    let outcome = match &answer {
+        Ok(_) => "answered",
+        Err(Error::NotDone(_)) => "declined",
+        Err(_) => "lost",
+    };
+    cx.metrics.advised(outcome, cx.now().saturating_sub(sent));
+    answer
 }
 
 /// Has another daemon ask.
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -1,5 +1,6 @@
 //! What all parts of a daemon share.
 
+use crate::metrics::Metrics;
 use crate::owner::Owner;
 use crate::settings::Settings;
 use crate::table;
@@ -34,6 +35,8 @@
     pub cfg: Settings,
     /// A number drawn at the start.
     pub incarnation: u64,
+    /// What is counted and timed.
+    pub metrics: Arc<Metrics>,
     /// The table service.
     pub table: table::client::Client,
     /// The workers.
@@ -71,9 +74,12 @@
         calls: Calls,
         config: watch::Receiver<Option<Arc<Config>>>,
         http: &catkin_http::Client,
+        metrics: Arc<Metrics>,
     ) -> Self {
+        let store = Store::new(http.clone(), &cfg.table.address);
         Self {
-            table: table::client::Client::new(Store::new(http.clone(), &cfg.table.address)),
+            table: table::client::Client::new(store, Arc::clone(&metrics)),
+            metrics,
             workers: Workers::new(http.clone()),
             adviser: Adviser::new(http.clone(), &cfg.adviser.address),
             cfg,
--- a/crates/catkin-node/src/error.rs
+++ b/crates/catkin-node/src/error.rs
@@ -9,4 +9,7 @@
     /// An address can't be listened on.
     #[display("an address can't be listened on")]
     Listen,
+    /// The metrics could not be set up.
+    #[display("the metrics could not be set up")]
+    Metrics,
 }
--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -27,8 +27,28 @@
 /// asked for each second and a half.
 const SILENCE: Duration = Duration::from_secs(2);
 
+/// Where the metrics are.
+const METRICS_PATH: &str = "/metrics";
+
 /// Answers a request of a client.
 pub async fn answer(cx: Arc<Cx>, req: Request<Incoming>) -> Response<Body> {
+    let call = call_name(req.method());
+    let res = route(&cx, req).await;
+    cx.metrics.answered(call, res.status().as_u16());
+    res
+}
+
+/// What a request asks for, for metrics.
+fn call_name(method: &Method) -> &'static str {
+    match *method {
+        Method::POST => "submit",
+        Method::GET => "state",
+        Method::DELETE => "cancel",
+        _ => "other",
+    }
+}
+
+async fn route(cx: &Arc<Cx>, req: Request<Incoming>) -> Response<Body> {
     let config = cx.config.borrow().clone();
     let Some(config) = config else { return refused(503, "no configuration yet") };
     let path = req.uri().path().to_owned();
@@ -38,11 +58,11 @@
     let method = req.method().clone();
     let rest = found.rest.to_owned();
     match (method, parse_job(&rest)) {
-        (Method::POST, Some(id)) => submit(&cx, &config, &found, id, req, deadline).await,
-        (Method::GET, Some(id)) => jobs::state(&cx, id, deadline).await,
-        (Method::DELETE, Some(id)) => jobs::cancel(&cx, id, deadline).await,
+        (Method::POST, Some(id)) => submit(cx, &config, &found, id, req, deadline).await,
+        (Method::GET, Some(id)) => jobs::state(cx, id, deadline).await,
+        (Method::DELETE, Some(id)) => jobs::cancel(cx, id, deadline).await,
         (Method::GET, None) if rest.is_empty() => {
-            jobs::waiting(&cx, &found.route.queue, deadline).await
+            jobs::waiting(cx, &found.route.queue, deadline).await
         }
         (Method::GET | Method::DELETE, None) => body::text(410, "no such job\n"),
         (Method::POST, None) => body::text(400, "a job is named by 16 hexadecimal digits\n"),
@@ -105,3 +125,14 @@
     let well = configured && cx.table.unserved() < SILENCE && !cx.is_draining();
     if well { body::text(200, "ready\n") } else { body::text(503, "not ready\n") }
 }
+
+/// The page of metrics.
+pub fn metrics(cx: &Cx, path: &str) -> Response<Body> {
+    if path != METRICS_PATH {
+        return body::text(404, "nothing here\n");
+    }
+    let mut res = body::text(200, cx.metrics.page());
+    let text = hyper::header::HeaderValue::from_static(catkin_metrics::CONTENT_TYPE);
+    res.headers_mut().insert(hyper::header::CONTENT_TYPE, text);
+    res
+}
--- a/crates/catkin-node/src/lead/mod.rs
+++ b/crates/catkin-node/src/lead/mod.rs
@@ -218,6 +218,7 @@
         age_ms = known.lead.renewed_ms.saturating_sub(before.lead.renewed_ms),
         "lead: taken over"
     );
+    cx.metrics.took_over();
     cx.leads.store(known.lead.epoch, Ordering::Relaxed);
     announce(cx, &known.lead);
     let known = own(cx, known).await;
--- a/crates/catkin-node/src/lib.rs
+++ b/crates/catkin-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod gate;
 pub mod lead;
+pub mod metrics;
 pub mod node;
 pub mod owner;
 pub mod peers;
--- /dev/null
+++ b/crates/catkin-node/src/metrics/mod.rs
@@ -0,0 +1,134 @@
+//! What is counted and timed. `docs/OPERATIONS.md` has the names.
+
+use crate::Error;
+use catkin_cell::cell::{Counts, Summary};
+use catkin_cell::worker::Reply;
+use catkin_metrics::{Counter, Histogram, Instruments};
+use error_stack::{Report, ResultExt};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The bounds of the buckets of times, in seconds.
+const BOUNDS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// What the owner of the cell says of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cell {
+    /// The cell as a whole.
+    pub summary: Summary,
+    /// What happened in this term.
+    pub counts: Counts,
+    /// Questions that wait for a daemon.
+    pub asks_waiting: usize,
+}
+
+/// The instruments of a daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    all: Instruments,
+    answers: Counter,
+    first_start: Histogram,
+    table: Histogram,
+    advice: Histogram,
+    orders: Counter,
+    take_overs: Counter,
+    cell: Arc<Mutex<Cell>>,
+}
+
+impl Metrics {
+    /// Sets the instruments up.
+    ///
+    /// # Errors
+    /// The exporter refused its registry.
+    pub fn new() -> Result<Self, Report<Error>> {
+        let all = Instruments::new("catkincart").change_context(Error::Metrics)?;
+        let metrics = Self {
+            answers: all.counter("catkin_answers"),
+            first_start: all.histogram("catkin_first_start_seconds", &BOUNDS),
+            table: all.histogram("catkin_table_seconds", &BOUNDS),
+            advice: all.histogram("catkin_advice_seconds", &BOUNDS),
+            orders: all.counter("catkin_orders"),
+            take_overs: all.counter("catkin_takeovers"),
+            cell: Arc::default(),
+            all,
+        };
+        metrics.observe_cell();
+        Ok(metrics)
+    }
+
+    fn observe_cell(&self) {
+        type Value = fn(&Cell) -> u64;
+        let values: [(&'static str, &'static str, &str, Value); 14] = [
+            ("catkin_cell_jobs", "state", "open", |c| c.summary.jobs as u64),
+            ("catkin_cell_steps", "state", "waiting", |c| c.summary.steps_waiting as u64),
+            ("catkin_cell_steps", "state", "reserved", |c| c.summary.steps_reserved as u64),
+            ("catkin_cell_steps", "state", "unsettled", |c| c.summary.steps_unsettled as u64),
+            ("catkin_cell_tasks", "state", "held", |c| c.summary.tasks_held as u64),
+            ("catkin_cell_workers", "state", "known", |c| c.summary.workers as u64),
+            ("catkin_cell_workers", "state", "usable", |c| c.summary.workers_usable as u64),
+            ("catkin_cell_questions", "state", "waiting", |c| c.asks_waiting as u64),
+            ("catkin_cell_starts", "state", "ordered", |c| c.counts.starts),
+            ("catkin_cell_ends", "how", "done", |c| c.counts.done),
+            ("catkin_cell_ends", "how", "failed", |c| c.counts.failed),
+            ("catkin_cell_ends", "how", "lost", |c| c.counts.lost),
+            ("catkin_cell_ends", "how", "declined", |c| c.counts.declined),
+            ("catkin_cell_ends", "how", "gang_given_up", |c| c.counts.gangs_given_up),
+        ];
+        for (name, label, value, f) in values {
+            let cell = Arc::clone(&self.cell);
+            let read = move || f(&cell.lock().unwrap_or_else(PoisonError::into_inner));
+            self.all.observe(name, &[(label, value)], read);
+        }
+    }
+
+    /// A count that another part keeps.
+    pub fn observe(&self, name: &'static str, f: impl Fn() -> u64 + Send + Sync + 'static) {
+        self.all.observe(name, &[], f);
+    }
+
+    /// A client got an answer.
+    pub fn answered(&self, call: &str, status: u16) {
+        self.answers.add(&[("call", call), ("status", &status.to_string())]);
+    }
+
+    /// The first task of a job was ordered to start, `age` after it was accepted. The adviser took a part of that.
+    pub fn first_start(&self, queue: &str, age: Duration, advice: Duration) {
+        let advice = advice.min(age);
+        for (phase, time) in
+            [("all", age), ("advice", advice), ("room", age.saturating_sub(advice))]
+        {
+            self.first_start.record(time, &[("queue", queue), ("phase", phase)]);
+        }
+    }
+
+    /// The table service answered, or did not.
+    pub fn table(&self, call: &str, outcome: &str, took: Duration) {
+        self.table.record(took, &[("call", call), ("outcome", outcome)]);
+    }
+
+    /// The adviser answered, or did not.
+    pub fn advised(&self, outcome: &str, took: Duration) {
+        self.advice.record(took, &[("outcome", outcome)]);
+    }
+
+    /// A worker answered an order, or did not.
+    pub fn ordered(&self, order: &str, reply: Reply) {
+        self.orders.add(&[("order", order), ("reply", &format!("{reply:?}").to_lowercase())]);
+    }
+
+    /// This daemon took the cell over.
+    pub fn took_over(&self) {
+        self.take_overs.add(&[]);
+    }
+
+    /// What the owner says of the cell.
+    pub fn cell(&self, cell: Cell) {
+        *self.cell.lock().unwrap_or_else(PoisonError::into_inner) = cell;
+    }
+
+    /// The page.
+    #[must_use]
+    pub fn page(&self) -> String {
+        self.all.page()
+    }
+}
--- a/crates/catkin-node/src/node.rs
+++ b/crates/catkin-node/src/node.rs
@@ -1,6 +1,7 @@
 //! The daemon as a whole.
 
 use crate::cx::Cx;
+use crate::metrics::Metrics;
 use crate::settings::{Settings, millis};
 use crate::{Error, gate, lead, peers, watch};
 use catkin_http::server;
@@ -21,6 +22,18 @@
 /// How many unused connections to one address are kept.
 const IDLE_CONNECTIONS: usize = 4;
 
+/// What a daemon is given beside its settings.
+pub struct Options {
+    /// How many log lines were left out so far.
+    pub lines_left_out: Box<dyn Fn() -> u64 + Send + Sync>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { lines_left_out: Box::new(|| 0) }
+    }
+}
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Node {
@@ -37,7 +50,7 @@
     ///
     /// # Errors
     /// An address can't be listened on.
-    pub async fn start(cfg: Settings) -> Result<Self, Report<Error>> {
+    pub async fn start(cfg: Settings, opt: Options) -> Result<Self, Report<Error>> {
         let listen = |addr: String| async move {
             TcpListener::bind(&addr).await.change_context(Error::Listen).attach_with(|| addr)
         };
@@ -45,26 +58,32 @@
         let ready = listen(cfg.listen.ready.clone()).await?;
         let peer = listen(format!("{}:{}", cfg.daemon.ip, cfg.listen.peer_port)).await?;
         let peer = peer.into_std().change_context(Error::Listen)?;
-        let opt = catkin_peer::Options {
+        let peer_opt = catkin_peer::Options {
             id: cfg.daemon.id.clone(),
             backlog: BACKLOG,
             ..catkin_peer::Options::default()
         };
         let (calls_tx, calls_rx) = mpsc::channel(BACKLOG);
         let peering =
-            catkin_peer::Peering::start(peer, opt, calls_tx).change_context(Error::Listen)?;
+            catkin_peer::Peering::start(peer, peer_opt, calls_tx).change_context(Error::Listen)?;
         let http = catkin_http::Client::new(catkin_http::client::Options {
             max_idle: IDLE_CONNECTIONS,
             ..Default::default()
         });
+        let metrics = Arc::new(Metrics::new()?);
+        metrics.observe("catkin_log_lines_left_out", opt.lines_left_out);
+        let metrics_listener = match cfg.listen.metrics_port {
+            0 => None,
+            port => Some(listen(format!("{}:{port}", cfg.daemon.ip)).await?),
+        };
         let (config_tx, config) = tokio::sync::watch::channel(None);
-        let cx = Arc::new(Cx::new(cfg, peering.calls.clone(), config, &http));
+        let cx = Arc::new(Cx::new(cfg, peering.calls.clone(), config, &http, metrics));
         cx.spawn(watch::run(Arc::clone(&cx), config_tx));
         cx.spawn(peers::run(Arc::clone(&cx), calls_rx));
         cx.spawn(lead::run(Arc::clone(&cx)));
         let node =
             Self { cx, peering, servers: TaskTracker::new(), close: CancellationToken::new() };
-        node.serve(clients, ready);
+        node.serve(clients, ready, metrics_listener);
         tracing::info!(
             daemon = node.cx.cfg.daemon.id,
             incarnation = node.cx.incarnation,
@@ -73,7 +92,7 @@
         Ok(node)
     }
 
-    fn serve(&self, clients: TcpListener, ready: TcpListener) {
+    fn serve(&self, clients: TcpListener, ready: TcpListener, metrics: Option<TcpListener>) {
         let drain = millis(self.cx.cfg.bounds.stop_ms).saturating_sub(UNTIL_UNSEEN + LAST);
         let opt = server::Options { drain, ..server::Options::default() };
         let cx = Arc::clone(&self.cx);
@@ -84,8 +103,15 @@
         let answer = move |req: hyper::Request<hyper::body::Incoming>| {
             std::future::ready(gate::ready(&cx, req.uri().path()))
         };
-        let serving = server::serve(ready, opt, answer, self.close.clone());
+        let serving = server::serve(ready, opt.clone(), answer, self.close.clone());
         self.servers.spawn(serving);
+        if let Some(metrics) = metrics {
+            let cx = Arc::clone(&self.cx);
+            let answer = move |req: hyper::Request<hyper::body::Incoming>| {
+                std::future::ready(gate::metrics(&cx, req.uri().path()))
+            };
+            self.servers.spawn(server::serve(metrics, opt, answer, self.close.clone()));
+        }
     }
 
     /// Stops: lets go of the cell, takes no new connections, ends the requests in progress, and joins all it spawned.
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -3,6 +3,7 @@
 pub mod commits;
 mod feeds;
 mod looks;
+mod notes;
 mod orders;
 mod pass;
 
@@ -10,6 +11,7 @@
 use crate::cx::{Cx, spawn_until};
 use crate::gate::store::Durable;
 use crate::lead::load;
+use crate::metrics;
 use catkin_cell::action::Loaded;
 use catkin_cell::cell::Advised;
 use catkin_cell::worker::{Listed, No, Reply, Seen};
@@ -318,6 +320,7 @@
             Message::Deposed => self.deposed.cancel(),
         }
         self.act(out, now);
+        self.tell();
         self.pass_soon(now);
     }
 
@@ -328,6 +331,8 @@
         self.last_summary = now;
         let c = self.cell.counts();
         let s = self.cell.summary(now);
+        let asks_waiting = self.askers.waiting();
+        self.cx.metrics.cell(metrics::Cell { summary: s, counts: c, asks_waiting });
         tracing::info!(
             epoch = self.cell.epoch(),
             jobs = s.jobs,
@@ -339,7 +344,7 @@
             workers_usable = s.workers_usable,
             cpu_used = s.cpu_used_milli,
             cpu_all = s.cpu_all_milli,
-            asks_waiting = self.askers.waiting(),
+            asks_waiting,
             askers = self.askers.alive(now),
             starts = c.starts,
             done = c.done,
--- /dev/null
+++ b/crates/catkin-node/src/owner/notes.rs
@@ -0,0 +1,75 @@
+//! What the cell decided and saw, in logs and metrics.
+
+use super::Running;
+use catkin_cell::cell::Cell;
+use catkin_cell::{Note, StepRef};
+use catkin_types::id::format_job;
+
+impl Running {
+    /// Logs and counts what the cell noted since the last time.
+    pub(super) fn tell(&mut self) {
+        for note in self.cell.take_notes() {
+            if let Note::Started { step, first: true, age, advice, .. } = &note {
+                let queue = self.cell.queue_of(step.job).unwrap_or_default();
+                self.cx.metrics.first_start(queue, *age, *advice);
+            }
+            log(&self.cell, &note);
+        }
+    }
+}
+
+fn log(cell: &Cell, note: &Note) {
+    let job = |r: StepRef| format_job(r.job);
+    match *note {
+        Note::Started { step, run, tasks, workers, first: _, age, slack, advice } => {
+            tracing::info!(
+                job = job(step),
+                occurrence = step.occurrence,
+                step = step.step,
+                run,
+                tasks,
+                workers,
+                age_ms = age.as_millis(),
+                slack_ms = slack.as_millis(),
+                advice_ms = advice.as_millis(),
+                "owner: step started"
+            );
+        }
+        Note::Failed { task, run, worker, times, most } => {
+            tracing::info!(
+                job = job(task.step),
+                step = task.step.step,
+                index = task.index,
+                run,
+                worker = cell.contact(worker).0,
+                times,
+                most,
+                "owner: task failed"
+            );
+        }
+        Note::Lost { task, worker } => {
+            tracing::info!(
+                job = job(task.step),
+                step = task.step.step,
+                index = task.index,
+                worker = cell.contact(worker).0,
+                "owner: task lost"
+            );
+        }
+        Note::GangGivenUp(step) => {
+            tracing::info!(job = job(step), step = step.step, "owner: gang given up");
+        }
+        Note::Ended { job, state, age, late } => {
+            tracing::info!(
+                job = format_job(job),
+                state = %state,
+                age_ms = age.as_millis(),
+                late,
+                "owner: job ended"
+            );
+        }
+        Note::LeftOut { worker, out } => {
+            tracing::info!(worker = cell.contact(worker).0, out, "owner: worker left out");
+        }
+    }
+}
--- a/crates/catkin-node/src/owner/orders.rs
+++ b/crates/catkin-node/src/owner/orders.rs
@@ -16,6 +16,7 @@
         let (cx, me, epoch) = (Arc::clone(&self.cx), self.me.clone(), self.cell.epoch());
         self.spawn(async move {
             let reply = cx.workers.start(&worker, &addr, &s, epoch, PATIENCE).await;
+            cx.metrics.ordered("start", reply);
             if reply != Reply::Done {
                 log(s.task, s.run, &worker, "start", reply);
             }
@@ -28,6 +29,7 @@
         let (cx, me, epoch) = (Arc::clone(&self.cx), self.me.clone(), self.cell.epoch());
         self.spawn(async move {
             let reply = cx.workers.stop(&worker, &addr, &s, epoch, PATIENCE).await;
+            cx.metrics.ordered("stop", reply);
             log(s.task, s.run, &worker, "stop", reply);
             drop(me.send_message(Message::Stopped(Box::new(s), reply)));
         });
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -17,6 +17,7 @@
         self.cell.begin_occurrences(wall_ms());
         self.cell.tick(now, &mut out);
         self.act(out, now);
+        self.tell();
         self.commit(now);
         self.look_around(now);
         self.ask_around(now);
--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -1,8 +1,9 @@
 //! The one client of the table service: how long it is waited for, whether it answers, and its clock.
 
+use crate::metrics::Metrics;
 use catkin_platform::error::Error;
 use catkin_platform::store::{Changes, Key, Outcome, Row, Rows, Store};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -34,15 +35,16 @@
 pub struct Client {
     store: Store,
     health: Mutex<Health>,
+    metrics: Arc<Metrics>,
 }
 
 impl Client {
     /// A client that uses `store`.
     #[must_use]
-    pub fn new(store: Store) -> Self {
+    pub fn new(store: Store, metrics: Arc<Metrics>) -> Self {
         let health =
             Health { served: None, silent: false, patience: PATIENCE.0, took: None, clock: None };
-        Self { store, health: Mutex::new(health) }
+        Self { store, health: Mutex::new(health), metrics }
     }
 
     /// Applies all changes or none. `most` bounds the wait.
@@ -56,7 +58,7 @@
             Ok(Outcome::Done { clock_ms, .. }) => *clock_ms,
             _ => 0,
         };
-        self.note(sent, clock, patience <= most, &outcome);
+        self.note("commit", sent, clock, patience <= most, &outcome);
         outcome
     }
 
@@ -99,7 +101,7 @@
     ) -> Result<Rows, Error> {
         let (sent, patience) = (Instant::now(), self.patience());
         let rows = self.store.read(table, part, from, limit, patience.min(most)).await;
-        self.note(sent, rows.as_ref().map_or(0, |r| r.clock_ms), patience <= most, &rows);
+        self.note("read", sent, rows.as_ref().map_or(0, |r| r.clock_ms), patience <= most, &rows);
         rows
     }
 
@@ -111,7 +113,7 @@
         let sent = Instant::now();
         let rows = self.store.changes(table, after, wait, wait + self.patience()).await;
         // The wait is no sign of how long answers take.
-        self.note(sent + wait, rows.as_ref().map_or(0, |r| r.clock_ms), true, &rows);
+        self.note("changes", sent + wait, rows.as_ref().map_or(0, |r| r.clock_ms), true, &rows);
         rows
     }
 
@@ -151,12 +153,20 @@
     }
 
     /// Notes what came of a call. A silence that was not waited out, `whole` not being set, says nothing.
-    fn note<T>(&self, sent: Instant, clock_ms: u64, whole: bool, result: &Result<T, Error>) {
+    fn note<T>(
+        &self,
+        call: &str,
+        sent: Instant,
+        clock_ms: u64,
+        whole: bool,
+        result: &Result<T, Error>,
+    ) {
+        let took = Instant::now().saturating_duration_since(sent);
+        self.metrics.table(call, outcome(result), took);
         let mut h = self.health.lock().unwrap_or_else(PoisonError::into_inner);
         match result {
             Ok(_) | Err(Error::HistoryGone) => {
                 let was_silent = h.silent;
-                let took = Instant::now().saturating_duration_since(sent);
                 if !took.is_zero() {
                     // The shortest of recent answers: others include connecting, and work of this daemon.
                     let grown = h.took.map(|old| old + old / TOOK_GROWTH);
@@ -188,3 +198,14 @@
         }
     }
 }
+
+/// What came of a call, for metrics.
+fn outcome<T>(result: &Result<T, Error>) -> &'static str {
+    match result {
+        Ok(_) => "answered",
+        Err(Error::HistoryGone) => "history_gone",
+        Err(Error::NotDone(_)) => "declined",
+        Err(Error::Malformed(_)) => "malformed",
+        Err(Error::Unknown(_)) => "lost",
+    }
+}
--- a/crates/catkin-peer/tests/peer/stop.rs
+++ b/crates/catkin-peer/tests/peer/stop.rs
@@ -20,7 +20,7 @@
 #[tokio::test]
 async fn no_call_comes_after_the_stop_even_if_some_are_in_progress() {
     let (caller, _, _caller_rx) = start();
-    let (called, addr, mut rx) = start();
+    let (server, addr, mut rx) = start();
     let mut waiting = Vec::new();
     for n in 0..CALLS {
         let calls = caller.calls.clone();
@@ -34,7 +34,7 @@
         let call = tokio::time::timeout(PATIENCE, rx.recv()).await.expect("in time");
         taken.push(call.expect("a call"));
     }
-    called.stop().await;
+    server.stop().await;
     let after = tokio::time::timeout(PATIENCE, rx.recv()).await;
     assert!(after.expect("the end of the calls is seen").is_none());
     drop(taken);
