--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -274,6 +274,7 @@
 }
 
 /// `d` in whole milliseconds.
-pub(crate) fn millis(d: Duration) -> u64 {
+#[must_use]
+pub fn millis(d: Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/catkin-node/src/owner/notes.rs
+++ b/crates/catkin-node/src/owner/notes.rs
@@ -2,6 +2,7 @@
 
 use super::Running;
 use catkin_cell::cell::Cell;
+use catkin_cell::worker::millis;
 use catkin_cell::{Note, StepRef};
 use catkin_types::id::format_job;
 
@@ -29,9 +30,9 @@
                 run,
                 tasks,
                 workers,
-                age_ms = age.as_millis(),
-                slack_ms = slack.as_millis(),
-                advice_ms = advice.as_millis(),
+                age_ms = millis(age),
+                slack_ms = millis(slack),
+                advice_ms = millis(advice),
                 "owner: step started"
             );
         }
@@ -63,7 +64,7 @@
             tracing::info!(
                 job = format_job(job),
                 state = %state,
-                age_ms = age.as_millis(),
+                age_ms = millis(age),
                 late,
                 "owner: job ended"
             );
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -5,6 +5,7 @@
 use catkin_cell::Action;
 use catkin_cell::Ask;
 use catkin_cell::cell::Advised;
+use catkin_cell::worker::millis;
 use catkin_types::id::format_job;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -57,8 +58,8 @@
                     step = ask.step.step,
                     workers = ask.workers.len(),
                     by = ?by,
-                    took_ms = cx.now().checked_sub(sent).unwrap().as_millis(),
-                    cost_ms = ask.cost.as_millis(),
+                    took_ms = millis(cx.now().saturating_sub(sent)),
+                    cost_ms = millis(ask.cost),
                     "owner: advised"
                 );
                 drop(me.send_message(Message::Advised(Box::new(ask), by, sent, answer)));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -21,7 +21,7 @@
 
 impl Process {
     /// Starts a program and reads its output up to the line that begins with `until`.
-    fn start(command: &mut Command, until: Option<&str>) -> Self {
+    pub fn start(command: &mut Command, until: Option<&str>) -> Self {
         command.stdin(Stdio::null());
         if until.is_some() {
             command.stdout(Stdio::piped());
