Own writes take turns, questions and new jobs that wait are bounded, passes leave the owner time to hear

After the power loss the owner of 5,000 waiting jobs spent its time on passes and on sorting 4,000 questions: beats of 44 askers went unheard.

--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -43,6 +43,8 @@
     pub reservation: Duration,
     /// How much of a ticket's time is left for the way of an order to start.
     pub ticket_margin: Duration,
+    /// The adviser is asked about at most so many steps at a time.
+    pub most_asked: usize,
     /// How long a worker that declined gets no work.
     pub pause: Duration,
     /// How long a worker may be missing from the list before it gets no more work.
@@ -63,6 +65,7 @@
             stop_again: Duration::from_millis(300),
             reservation: Duration::from_millis(1_500),
             ticket_margin: Duration::from_millis(200),
+            most_asked: 300,
             pause: Duration::from_millis(500),
             missing: Duration::from_millis(2_500),
             remember: Duration::from_mins(2),
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -32,6 +32,8 @@
     /// Room that is kept for gangs that come before in the order.
     kept: HashMap<No, Resources>,
     gangs: usize,
+    /// So many more steps may be asked about.
+    asks: usize,
 }
 
 /// Room is kept for at most so many gangs at a time.
@@ -49,7 +51,9 @@
             .map(|r| (self.rank(*r, now), *r))
             .collect();
         order.sort_unstable();
-        let mut pass = Pass::default();
+        let asking = self.open.iter().filter(|r| self.is_asking(**r)).count();
+        let asks = self.opt.most_asked.saturating_sub(asking);
+        let mut pass = Pass { asks, ..Pass::default() };
         for (_, r) in order {
             self.consider(r, &mut pass, now, out);
         }
@@ -72,8 +76,11 @@
         let eligible = self.eligible(r, kind, pass, now);
         let advised = self.queue_advice(r);
         if advised && step.good.is_none() {
-            let unknown = self.to_ask(step, kind, &eligible, &j.job.queue);
-            self.ask(r, unknown, now, out);
+            if pass.asks > 0 {
+                pass.asks -= 1;
+                let unknown = self.to_ask(step, kind, &eligible, &j.job.queue);
+                self.ask(r, unknown, now, out);
+            }
             return;
         }
         let candidates = self.candidates(r, kind, &eligible, advised, pass);
@@ -83,7 +90,7 @@
         } else {
             self.plan_tasks(kind, &waiting, candidates)
         };
-        let more = if advised && plan.len() < waiting.len() {
+        let more = if advised && plan.len() < waiting.len() && pass.asks > 0 {
             self.to_ask(step, kind, &eligible, &j.job.queue)
         } else {
             Vec::new()
@@ -98,6 +105,10 @@
         self.ask(r, more, now, out);
     }
 
+    fn is_asking(&self, r: StepRef) -> bool {
+        self.step(r).is_some_and(|s| s.asking_since.is_some())
+    }
+
     /// Whether nothing of the step can run unknown to this owner.
     fn settle(&mut self, r: StepRef, now: Duration) -> bool {
         let over = self.opt.autonomy + self.opt.lease + self.opt.lease / 10;
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -14,11 +14,15 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// So many jobs are written by a daemon itself at a time. The daemons together must not fill the table's queue, in which
+/// an owner that takes over has to wait.
+const OWN_WRITES: usize = 2;
+
 /// Who owns the cell, as far as this daemon knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leader {
@@ -39,6 +43,8 @@
     pub metrics: Arc<Metrics>,
     /// The table service.
     pub table: table::client::Client,
+    /// Turns for jobs that this daemon writes itself, as the owner does not.
+    pub own_writes: Semaphore,
     /// The workers.
     pub workers: Workers,
     /// The adviser.
@@ -80,6 +86,7 @@
         Self {
             table: table::client::Client::new(store, Arc::clone(&metrics)),
             metrics,
+            own_writes: Semaphore::new(OWN_WRITES),
             workers: Workers::new(http.clone()),
             adviser: Adviser::new(http.clone(), &cfg.adviser.address),
             cfg,
--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::sync::SemaphorePermit;
 
 /// The pause before a call whose answer was lost is made again.
 const PAUSE: Duration = Duration::from_millis(60);
@@ -121,6 +122,7 @@
 
 /// Stores a job with this daemon's own calls.
 pub async fn accept_here(cx: &Cx, id: JobId, job: &Job, deadline: Duration) -> Durable {
+    let Some(_turn) = turn(cx, deadline).await else { return Durable::No };
     let changes = table::accept(id, job);
     let mut lost = false;
     loop {
@@ -144,6 +146,12 @@
     }
 }
 
+/// This daemon's turn to write; nothing if it does not come in time.
+async fn turn(cx: &Cx, deadline: Duration) -> Option<SemaphorePermit<'_>> {
+    let left = deadline.saturating_sub(cx.now());
+    tokio::time::timeout(left, cx.own_writes.acquire()).await.ok()?.ok()
+}
+
 /// What a conflict says of a job: it is there, by an earlier try if an answer was `lost`; or it is at its end.
 #[must_use]
 pub fn after_conflict(rows: &[Row], lost: bool) -> Durable {
@@ -176,6 +184,7 @@
             Stored::Open { job, .. } if job.cancelled => return Durable::Yes,
             Stored::Open { job, version } => (job, version),
         };
+        let Some(_turn) = turn(cx, deadline).await else { return Durable::Unknown };
         let key = job_key(JOBS, id);
         let cancelled = Job { cancelled: true, ..job };
         let changes = Changes {
--- a/crates/catkin-node/src/owner/commits.rs
+++ b/crates/catkin-node/src/owner/commits.rs
@@ -17,6 +17,8 @@
 const MOST_JOBS: usize = 30;
 /// How many of them may be new. Their specs are the largest rows.
 const MOST_NEW: usize = 20;
+/// So many new jobs wait for each part, at most. Others are refused at once.
+const MOST_WAITING: usize = 150;
 /// How long an answer may take, at most.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// The pause before a batch is tried again.
@@ -72,9 +74,13 @@
     pub(super) fn accept(&mut self, new: New) {
         if self.cell.knows(new.id) {
             let _ = new.tx.send(Durable::Before);
-        } else if self.cx.table.is_silent() {
+            return;
+        }
+        let silent = self.cx.table.is_silent();
+        let Some(p) = self.parts.parts.get_mut(part_of(new.id)) else { return };
+        if silent || p.new.len() >= MOST_WAITING {
             let _ = new.tx.send(Durable::No);
-        } else if let Some(p) = self.parts.parts.get_mut(part_of(new.id)) {
+        } else {
             p.new.push(new);
         }
     }
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -165,6 +165,8 @@
     /// Whether a [`Message::Pass`] is on its way.
     pass_pending: bool,
     last_pass: Duration,
+    /// How long the last pass took.
+    pass_took: Duration,
     last_summary: Duration,
 }
 
@@ -172,6 +174,8 @@
 const LEASE_MOST: Duration = Duration::from_millis(4_500);
 /// The least time between two passes over what waits.
 const PASS_EVERY: Duration = Duration::from_millis(8);
+/// Passes take at most one part in so many of the owner's time, so that what it hears is not kept waiting.
+const PASS_SHARE: u32 = 4;
 /// How often a line is logged on the cell as a whole.
 const SUMMARY_EVERY: Duration = Duration::from_secs(1);
 /// How often time is seen to go by.
@@ -208,6 +212,7 @@
             stop: args.stop,
             pass_pending: false,
             last_pass: Duration::ZERO,
+            pass_took: Duration::ZERO,
             last_summary: Duration::ZERO,
             cx: args.cx,
         };
@@ -380,7 +385,8 @@
             return;
         }
         self.pass_pending = true;
-        let wait = (self.last_pass + PASS_EVERY).saturating_sub(now);
+        let pause = PASS_EVERY.max(self.pass_took * PASS_SHARE);
+        let wait = (self.last_pass + pause).saturating_sub(now);
         let me = self.me.clone();
         if wait.is_zero() {
             drop(me.send_message(Message::Pass));
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -22,6 +22,7 @@
         self.commit(now);
         self.look_around(now);
         self.ask_around(now);
+        self.pass_took = self.cx.now().saturating_sub(now);
     }
 
     /// Has done what the cell decided.
