Several daemons ask about one step at once

A call costs 0.7 s before the first worker is named, and wide gangs needed three to six calls in a row.

--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -12,14 +12,16 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// One call names at most this many workers.
-const MOST_NAMED: usize = 100;
+/// One call names at most this many workers. More are asked about by several daemons at once.
+const MOST_NAMED: usize = 50;
+/// The calls made at once about a step name at most this many.
+const MOST_AT_ONCE: usize = 300;
 /// The first call about a step names at least this many, if there are so many.
 const LEAST_NAMED: usize = 48;
 /// How many times the room that a step needs is to be had on the workers that may run it.
 const SPARE: f64 = 1.5;
 /// The share of workers that may run the steps of a queue is taken to be this, until it is known.
-const GOOD_SHARE: f64 = 0.5;
+const GOOD_SHARE: f64 = 0.25;
 /// The share is that of about so many recent answers.
 const SHARE_MEMORY: f64 = 8.0;
 /// How long the adviser is left alone about a step after it declined.
@@ -46,8 +48,11 @@
         let Some(step) = jobs.get_mut(&ask.step.job).and_then(|j| j.step_mut(ask.step)) else {
             return;
         };
-        let asked_at = step.asking_since.take();
-        step.advice_took += asked_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        step.asking = step.asking.saturating_sub(1);
+        if step.asking == 0 {
+            let asked_at = step.asking_since.take();
+            step.advice_took += asked_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        }
         let Advised::Good(rows) = advised else {
             step.ask_after = now + ASK_AGAIN;
             return;
@@ -98,7 +103,7 @@
         let mut named = Vec::new();
         for (free, no) in fresh {
             let enough = needed <= 0.0 && (!first || named.len() >= LEAST_NAMED);
-            if enough || named.len() >= MOST_NAMED {
+            if enough || named.len() >= MOST_AT_ONCE {
                 break;
             }
             needed -= as_f64(free) * share;
@@ -119,14 +124,18 @@
         let Some(advice) = self.queues.get(&j.job.queue).and_then(|q| q.advice) else { return };
         let before = j.due.saturating_sub(j.step(r).map_or(Duration::ZERO, |s| s.tail));
         let named = |no: No| self.worker(no).listed.id.clone();
-        let workers: Vec<WorkerId> = workers.into_iter().take(MOST_NAMED).map(named).collect();
-        let cost = advice.cost(workers.len());
+        let workers: Vec<WorkerId> = workers.into_iter().map(named).collect();
         let Some(step) = self.step_mut(r) else { return };
         if step.asking_since.is_some() || now < step.ask_after || workers.is_empty() {
             return;
         }
         step.asking_since = Some(now);
-        out.push(Action::Ask(Ask { step: r, workers, cost, before }));
+        let calls = workers.len().div_ceil(MOST_NAMED);
+        step.asking = calls;
+        for workers in workers.chunks(workers.len().div_ceil(calls)) {
+            let cost = advice.cost(workers.len());
+            out.push(Action::Ask(Ask { step: r, workers: workers.to_vec(), cost, before }));
+        }
     }
 
     pub(super) fn drop_ticket(&mut self, r: StepRef, worker: No) {
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -45,6 +45,8 @@
     pub good: Option<HashMap<No, Ticket>>,
     /// The workers that the adviser was asked about.
     pub asked: Set,
+    /// How many questions are not answered.
+    pub asking: usize,
     /// Since when the adviser has been asked.
     pub asking_since: Option<Duration>,
     /// For how long the adviser was asked so far.
--- a/crates/catkin-cell/tests/cell/advice.rs
+++ b/crates/catkin-cell/tests/cell/advice.rs
@@ -2,8 +2,8 @@
 
 use crate::owner::step;
 use crate::world::World;
-use catkin_cell::State;
 use catkin_cell::job::Step;
+use catkin_cell::{Options, State};
 use std::time::Duration;
 
 const WORKERS: usize = 300;
@@ -38,6 +38,22 @@
     let mut w = world(5);
     // It takes 60 of the 75 or so workers that may run it.
     w.accept(1, vec![Step { gang: true, ..step(60, 3_500, 500) }]);
+    let since = w.now;
+    ends_well(&mut w);
+    // Several daemons ask at once: the questions take no longer than one does.
+    assert!(w.now < since + Duration::from_millis(1_700), "{:?}", w.now.checked_sub(since));
+    assert!(w.questions.len() > 1);
+}
+
+#[test]
+fn few_of_many_steps_that_wait_are_asked_about_at_a_time() {
+    let mut w = world(9);
+    for id in 1..1_000 {
+        w.accept(id, vec![step(1, 100, 300)]);
+    }
+    w.turn();
+    w.turn();
+    assert!(w.questions.len() <= Options::default().most_asked, "{}", w.questions.len());
     ends_well(&mut w);
 }
 
