--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faults;
 pub mod platform;
 pub mod port;
+pub mod proxy;
 pub mod table;
 pub mod worker;
 
--- a/tests/node_path/deployment.rs
+++ b/tests/node_path/deployment.rs
@@ -4,6 +4,7 @@
 use catkin_platform_standin::client::Client;
 use catkin_platform_standin::{Options, Platform};
 use catkin_standin::port::Kept;
+use catkin_standin::proxy::Proxy;
 use hyper::Method;
 use std::fs::File;
 use std::net::SocketAddr;
@@ -83,6 +84,8 @@
     pub platform: Platform,
     pub nodes: Vec<Node>,
     pub client: Client,
+    /// The way of each daemon to the store, if it goes through a proxy.
+    pub links: Vec<Proxy>,
 }
 
 impl Deployment {
@@ -97,13 +100,30 @@
     /// Starts the platform. No daemon runs.
     pub async fn prepare(name: &str, nodes: usize, opt: &Options) -> Self {
         let platform = Platform::start(opt).await.expect("a platform");
+        Self::with(name, nodes, platform, Vec::new())
+    }
+
+    /// Starts the platform and a proxy between each daemon and the store. No daemon runs.
+    pub async fn proxied(name: &str, nodes: usize, opt: &Options) -> Self {
+        let platform = Platform::start(opt).await.expect("a platform");
+        let mut links = Vec::new();
+        for _ in 0..nodes {
+            links.push(Proxy::start(platform.store_addr).await.expect("a proxy"));
+        }
+        Self::with(name, nodes, platform, links)
+    }
+
+    fn with(name: &str, nodes: usize, platform: Platform, links: Vec<Proxy>) -> Self {
         let dir = std::env::temp_dir().join(format!("catkin-node-{}-{name}", std::process::id()));
         // It is not there unless an earlier process had the same number.
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).expect("a folder");
-        let (table, adviser) = (platform.store_addr, platform.adviser_addr);
-        let node = |n| Node::new(format!("node-{n}"), dir.clone(), table, adviser);
-        Self { platform, nodes: (0..nodes).map(node).collect(), client: Client::default() }
+        let node = |n: usize| {
+            let table = links.get(n).map_or(platform.store_addr, Proxy::addr);
+            Node::new(format!("node-{n}"), dir.clone(), table, platform.adviser_addr)
+        };
+        let nodes = (0..nodes).map(node).collect();
+        Self { platform, nodes, client: Client::default(), links }
     }
 
     pub async fn ready(&self) {
@@ -136,10 +156,16 @@
     }
 
     /// Stops everything. Nothing that a worker was told may have been wrong.
-    pub async fn end(mut self) {
+    pub async fn end(self) {
+        assert_eq!(self.close().await, Vec::<String>::new());
+    }
+
+    /// Stops everything. Returns what was wrong.
+    pub async fn close(mut self) -> Vec<String> {
         self.nodes.iter_mut().for_each(Node::kill);
-        assert_eq!(self.platform.judge.all_wrong(), Vec::<String>::new());
+        let wrong = self.platform.judge.all_wrong();
         self.platform.stop().await;
+        wrong
     }
 }
 
