--- a/src/bin/catkincartd/check.rs
+++ b/src/bin/catkincartd/check.rs
@@ -33,6 +33,10 @@
 pub fn check(paths: &[PathBuf], print: bool) -> ExitCode {
     let mut good = true;
     for file in paths.iter().flat_map(|p| files(p)) {
+        if let Some(text) = node_settings(&file) {
+            good &= check_node(&file, &text);
+            continue;
+        }
         let Some((settings, text)) = read(&file) else {
             good = false;
             continue;
@@ -47,6 +51,24 @@
     if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// The text of a file that holds settings of `node`: these alone have a table of that name.
+fn node_settings(file: &Path) -> Option<String> {
+    let text = std::fs::read_to_string(file).ok()?;
+    text.lines().any(|l| l.trim() == "[table]").then_some(text)
+}
+
+fn check_node(file: &Path, text: &str) -> bool {
+    let name = file.display().to_string();
+    match catkin_node::settings::parse(&name, text) {
+        Ok(_) => println!("{name}: ok"),
+        Err(e) => {
+            eprintln!("{e:?}");
+            return false;
+        }
+    }
+    true
+}
+
 fn files(path: &Path) -> Vec<PathBuf> {
     let Ok(folder) = std::fs::read_dir(path) else { return vec![path.to_owned()] };
     let toml = |p: &PathBuf| p.extension().is_some_and(|e| e == "toml");
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -4,6 +4,7 @@
 #[expect(dead_code, reason = "other tests use the rest")]
 mod support;
 
+mod check;
 #[expect(dead_code, reason = "the soak uses the rest")]
 mod deployment;
 mod logs;
