A start that no look confirmed is settled in the worker's next life before the task starts elsewhere

Cause: an order to start that is on its way when a worker crashes is carried out by its next life, which has the same name and a clock that begins anew. The owner took all tasks of the old life to be gone and started them elsewhere: one task twice at a time. Now tasks that the old life never listed are stopped in the new one, and are free once a look sent after the answer does not list them, or once the longest lease is over. The world drops orders that a worker held back when that worker crashes: they were its own.

--- a/crates/catkin-cell/src/cell/looks.rs
+++ b/crates/catkin-cell/src/cell/looks.rs
@@ -209,6 +209,7 @@
             out.push(Action::Stop(Stop { worker: no, born, task: r.task, run: r.run }));
             return;
         }
+        held.listed = true;
         if matches!(held.phase, Phase::Starting | Phase::Unknown) {
             held.phase = Phase::Running;
             held.since = now;
@@ -256,6 +257,7 @@
             phase: if wanted { Phase::Running } else { Phase::Stopping },
             since: now,
             start_by_ms: 0,
+            listed: true,
             stop_answered: None,
             expected_end: now,
         };
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -301,6 +301,7 @@
                 phase: Phase::Reserved,
                 since: now,
                 start_by_ms: 0,
+                listed: false,
                 stop_answered: None,
                 expected_end: now + expected,
             };
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -8,6 +8,8 @@
 use catkin_types::{Incarnation, WorkerId};
 use std::time::Duration;
 
+/// A life that never answered is waited for one part in so many longer: its clock may be slow.
+const STRAY_MARGIN: u32 = 20;
 /// How far the clock of a silent worker has to be past its lease before its tasks are taken to be gone, in
 /// milliseconds.
 const LAPSE_MARGIN_MS: u64 = 100;
@@ -135,11 +137,12 @@
 
     /// The worker has another life: what ran in the last one is gone.
     pub(super) fn reborn(&mut self, no: No, born: Incarnation) {
+        let now = self.now;
         let w = self.worker_mut(no);
-        let lost = w.reborn(born);
+        let lost = w.reborn(born, now);
         let id = w.listed.id.clone();
         self.settled.insert(id);
-        for (task, _) in lost {
+        for task in lost {
             self.lost(task, no);
         }
         for j in self.jobs.values_mut() {
@@ -180,13 +183,17 @@
     /// Takes the tasks of silent workers to be gone once their leases have run out.
     pub(super) fn expire(&mut self, now: Duration) {
         // A life's clock begins at 0. A call meant for the one before may have given it the longest lease.
-        let strays = millis(self.opt.stray + self.opt.longest_lease);
+        let strays = self.opt.stray + self.opt.longest_lease;
         let over = |w: &Worker| {
-            let clock = w.clock_at_least(now);
-            let lease_to = w.lease_to_ms.max(if w.born_again { strays } else { 0 });
-            clock.is_some_and(|c| c > lease_to + LAPSE_MARGIN_MS)
+            let Some(clock) = w.clock_at_least(now) else {
+                // It never answered in this life.
+                let since = w.born_again.map(|at| now.saturating_sub(at));
+                return since.is_some_and(|d| d > strays + strays / STRAY_MARGIN);
+            };
+            let lease_to = w.lease_to_ms.max(w.born_again.map_or(0, |_| millis(strays)));
+            clock > lease_to + LAPSE_MARGIN_MS
         };
-        let silent = |w: &Worker| w.claimed && w.misses > 0;
+        let silent = |w: &Worker| w.misses > 0 && (w.claimed || !w.held.is_empty());
         let lapsed: Vec<No> =
             self.nos().filter(|no| silent(self.worker(*no)) && over(self.worker(*no))).collect();
         for no in lapsed {
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -135,6 +135,8 @@
     pub since: Duration,
     /// Until when the worker may carry out an order to start that got no answer, on its clock.
     pub start_by_ms: u64,
+    /// Whether the worker has listed it.
+    pub listed: bool,
     /// When the order to stop was answered.
     pub stop_answered: Option<Duration>,
     /// When the task is expected to end.
@@ -206,9 +208,9 @@
     pub clock: Option<(u64, Duration)>,
     /// The latest lease that was asked for, on its clock.
     pub lease_to_ms: u64,
-    /// Whether it was born again while this owner knew it: calls meant for the life before, with times of another
-    /// clock, may have reached this one.
-    pub born_again: bool,
+    /// When it was born again, if that was while this owner knew it: calls meant for the life before, with times of
+    /// another clock, may have reached this one.
+    pub born_again: Option<Duration>,
     pub held: HashMap<Task, Held>,
     pub acknowledged: u64,
     pub noted: u64,
@@ -219,6 +221,8 @@
     pub closed_until: Duration,
 }
 
+/// The last order of a task was sent so early that it is time for the next.
+const AT_ONCE: Duration = Duration::from_nanos(1);
 /// A worker's clock may be this many thousandths slow.
 const SLOW_PER_MILLE: u32 = 20;
 
@@ -262,18 +266,28 @@
         self.listed = listed;
     }
 
-    /// Forgets all that belonged to an earlier life.
-    pub(crate) fn reborn(&mut self, born: Incarnation) -> Vec<(Task, Held)> {
+    /// Forgets all that belonged to an earlier life. Returns the tasks that are gone with it. The order to start a task
+    /// that this life never listed may reach the next one: such a task is stopped there.
+    pub(crate) fn reborn(&mut self, born: Incarnation, now: Duration) -> Vec<Task> {
         self.listed.born = born;
         self.claimed = false;
         self.clock = None;
         self.lease_to_ms = 0;
-        self.born_again = true;
+        self.born_again = Some(now);
         self.acknowledged = 0;
         self.noted = 0;
         self.unacknowledged.clear();
-        self.host.declared = Resources::default();
-        self.held.drain().collect()
+        let gone = |(_, h): &(&Task, &mut Held)| h.listed || h.phase == Phase::Reserved;
+        let gone: Vec<Task> = self.held.iter_mut().filter(gone).map(|(t, _)| *t).collect();
+        for task in &gone {
+            self.release(task);
+        }
+        for held in self.held.values_mut() {
+            held.phase = Phase::Stopping;
+            held.stop_answered = None;
+            held.since = AT_ONCE;
+        }
+        gone
     }
 }
 
--- a/crates/catkin-cell/tests/cell/worker.rs
+++ b/crates/catkin-cell/tests/cell/worker.rs
@@ -156,9 +156,6 @@
         now: Duration,
         facts: &mut Vec<Fact>,
     ) -> Reply {
-        if s.born != self.listed.born {
-            return Reply::OtherLife;
-        }
         if !self.fence(epoch) {
             return Reply::Fenced;
         }
@@ -180,9 +177,6 @@
     }
 
     pub fn stop(&mut self, s: &Stop, epoch: Epoch, now: Duration) -> Reply {
-        if s.born != self.listed.born {
-            return Reply::OtherLife;
-        }
         if !self.fence(epoch) {
             return Reply::Fenced;
         }
--- a/crates/catkin-cell/tests/cell/world.rs
+++ b/crates/catkin-cell/tests/cell/world.rs
@@ -43,8 +43,8 @@
 }
 
 enum Event {
-    StartAt(Start, Epoch, bool),
-    StopAt(Stop, Epoch, bool),
+    StartAt(Start, Epoch, bool, Option<u64>),
+    StopAt(Stop, Epoch, bool, Option<u64>),
     LookAt(No, Epoch, Duration, Option<u64>, u64),
     Started(Start, Epoch, Reply),
     Stopped(Stop, Epoch, Reply),
@@ -399,7 +399,9 @@
     fn handle(&mut self, event: Event) {
         let now = self.now;
         match event {
-            Event::StartAt(s, epoch, answered) => {
+            Event::StartAt(s, _, _, life) if self.is_void(s.worker, life) => {}
+            Event::StopAt(s, _, _, life) if self.is_void(s.worker, life) => {}
+            Event::StartAt(s, epoch, answered, _) => {
                 let (n, cut) = self.reach(s.worker);
                 if cut {
                     if answered {
@@ -427,7 +429,7 @@
                     self.at(when, Event::Started(s, epoch, reply));
                 }
             }
-            Event::StopAt(s, epoch, answered) => {
+            Event::StopAt(s, epoch, answered, _) => {
                 let (n, cut) = self.reach(s.worker);
                 if cut {
                     if answered {
@@ -573,34 +575,42 @@
         }
     }
 
-    /// When an order arrives, and whether it is answered.
-    fn way(&mut self) -> (Duration, bool) {
+    /// When an order is carried out, and whether it is answered. One that the worker has and carries out late goes with
+    /// the worker's life.
+    fn way(&mut self, no: No) -> (Duration, bool, Option<u64>) {
         if self.chance(self.trouble.late) {
             let late = Duration::from_millis(700 + self.random() % 5_000);
-            return (self.now + late, false);
+            let (n, _) = self.reach(no);
+            return (self.now + late, false, Some(self.workers[n].listed.born));
         }
         let lost = self.chance(self.trouble.answer_lost);
-        (self.now + self.delay(), !lost)
+        (self.now + self.delay(), !lost, None)
+    }
+
+    /// Whether an order that a worker had went with an earlier life.
+    fn is_void(&self, no: No, life: Option<u64>) -> bool {
+        let (n, _) = self.reach(no);
+        life.is_some_and(|life| life != self.workers[n].listed.born)
     }
 
     fn send_start(&mut self, s: Start, epoch: Epoch) {
-        let (when, answered) = self.way();
+        let (when, answered, life) = self.way(s.worker);
         let (_, cut) = self.reach(s.worker);
         if !answered || cut {
             let at = self.now + Duration::from_millis(600);
             self.at(at, Event::Started(s.clone(), epoch, Reply::Unknown));
         }
-        self.at(when, Event::StartAt(s, epoch, answered && !cut));
+        self.at(when, Event::StartAt(s, epoch, answered && !cut, life));
     }
 
     fn send_stop(&mut self, s: Stop, epoch: Epoch) {
-        let (when, answered) = self.way();
+        let (when, answered, life) = self.way(s.worker);
         let (_, cut) = self.reach(s.worker);
         if !answered || cut {
             let at = self.now + Duration::from_millis(600);
             self.at(at, Event::Stopped(s.clone(), epoch, Reply::Unknown));
         }
-        self.at(when, Event::StopAt(s, epoch, answered && !cut));
+        self.at(when, Event::StopAt(s, epoch, answered && !cut, life));
     }
 
     fn send_look(&mut self, no: No, epoch: Epoch) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -25,7 +25,8 @@
 /// Seeds that failed once, each with its cause.
 ///
 /// 120: a job was cancelled 36 ms after its last task had ended and before that was durable. It is shown as completed,
-/// which is true; the check had asked for cancelled. 137: a worker of the stand-in that crashed did not break the gang
+/// which is true; the check had asked for cancelled. Later: an order to start that was on its way to a worker that
+/// crashed was carried out by the worker's next life, while the task was started elsewhere. 137: a worker of the stand-in that crashed did not break the gang
 /// of its tasks, whose other members went on to their end.
 const KEPT: [u64; 2] = [120, 137];
 /// The seeds of CI.
