--- a/crates/catkin-node/src/asks/mod.rs
+++ b/crates/catkin-node/src/asks/mod.rs
@@ -141,7 +141,8 @@
 
     /// The questions that daemons are free for, and those daemons.
     pub fn hand_out(&mut self, now: Duration) -> Vec<(Ask, Option<SocketAddr>)> {
-        let mut room = Room::new(&self.askers, now);
+        let others_wait = self.waiting.iter().any(|a| Length::of(a.cost) < Length::Long);
+        let mut room = Room::new(&self.askers, others_wait, now);
         let rank = |a: &Ask| {
             let late = a.before < now;
             (late, if late { a.cost } else { a.before })
@@ -210,12 +211,14 @@
 }
 
 impl Room {
-    fn new(askers: &[Asker], now: Duration) -> Self {
+    /// Long questions take half of the daemons while shorter ones wait, else all but those for short ones.
+    fn new(askers: &[Asker], others_wait: bool, now: Duration) -> Self {
         let live = askers.iter().filter(|a| alive(a, now)).count();
         let long_now = askers.iter().filter(|a| a.long).count();
+        let most_long = if others_wait { (live / 2).max(1) } else { live };
         Self {
             for_short: if live > 1 { (live / FOR_SHORT).max(1) } else { 0 },
-            long: (live / 2).max(1).saturating_sub(long_now),
+            long: most_long.saturating_sub(long_now),
             used_up: None,
         }
     }
--- a/crates/catkin-node/tests/node/main.rs
+++ b/crates/catkin-node/tests/node/main.rs
@@ -1,4 +1,5 @@
 //! What daemons conclude from the rows that the table gives them.
 
+mod asks;
 mod jobs;
 mod settings;
