--- a/crates/catkin-cell/tests/cell/world.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -3,7 +3,9 @@
 //! Checks at each start what has to hold: room, one run of a task at a time, none after its end, no more than the
 //! allowed failures, steps in their order.
 
-use crate::worker::{Fact, Run, Worker};
+mod judge;
+
+use crate::worker::{Run, Worker};
 use catkin_cell::action::Loaded;
 use catkin_cell::cell::Advised;
 use catkin_cell::job::{Job, State, Step};
@@ -245,20 +247,6 @@
         self.specs.keys().all(|id| self.ended.contains_key(id))
     }
 
-    /// What was wrong, once all that may be acknowledged was.
-    pub fn judge(&mut self) -> Vec<String> {
-        let counts = |task: Task, run: u32| {
-            self.acknowledged.contains(&(task, run)) && !self.void.contains(&(task, run))
-        };
-        let wrong = |(task, runs, most, _): &&(Task, BTreeSet<u32>, usize, String)| {
-            runs.iter().filter(|run| counts(*task, **run)).count() >= *most
-        };
-        let late: Vec<String> =
-            self.doubtful.iter().filter(wrong).map(|(.., why)| why.clone()).collect();
-        self.broken.extend(late);
-        self.broken.clone()
-    }
-
     /// The worker is reached by nobody any more.
     pub fn silence(&mut self, n: usize) {
         self.workers[n].up = false;
@@ -306,96 +294,6 @@
         }
     }
 
-    fn note(&mut self, n: usize, facts: Vec<Fact>) {
-        for fact in facts {
-            match fact {
-                Fact::Started(task, run) => self.check_start(n, task, run),
-                Fact::Ended(task, run, how) => self.check_end(task, run, how),
-                Fact::Acknowledged(task, run) => {
-                    self.acknowledged.insert((task, run));
-                }
-                Fact::Void(task, run) => {
-                    if !self.acknowledged.contains(&(task, run)) {
-                        self.void.insert((task, run));
-                    }
-                }
-            }
-        }
-    }
-
-    fn gang_of(&self, task: Task) -> bool {
-        self.specs[&task.step.job].steps[task.step.step as usize].gang
-    }
-
-    fn check_start(&mut self, n: usize, task: Task, run: u32) {
-        self.starts += 1;
-        let mut wrong = Vec::new();
-        let w = &self.workers[n];
-        if !w.used().fits(&w.listed.capacity) {
-            wrong.push(format!("{} holds {}", w.listed.id, w.used()));
-        }
-        let elsewhere =
-            self.workers.iter().enumerate().any(|(m, w)| m != n && w.running.contains_key(&task));
-        if elsewhere {
-            wrong.push(format!("{task:?} runs twice"));
-        }
-        let at = self.now;
-        if let Some(done) = self.done_runs.get(&task) {
-            let why = format!("{at:?}: {task:?} starts with run {run} after it is done");
-            self.doubtful.push((task, BTreeSet::from([*done]), 1, why));
-        }
-        if let Some(runs) = self.failed.get(&task).filter(|r| r.len() >= ATTEMPTS as usize) {
-            let why = format!("{at:?}: {task:?} starts with run {run} after failures {runs:?}");
-            self.doubtful.push((task, runs.clone(), ATTEMPTS as usize, why));
-        }
-        let job = &self.specs[&task.step.job];
-        for before in &job.steps[task.step.step as usize].after {
-            let r = catkin_cell::StepRef { step: *before, ..task.step };
-            let all =
-                (0..job.steps[*before as usize].count).all(|i| self.done.contains(&r.task(i)));
-            if !all {
-                wrong.push(format!("{task:?} starts before step {before} has ended"));
-            }
-        }
-        self.broken.extend(wrong.into_iter().map(|w| format!("{at:?}: {w}, run {run}")));
-    }
-
-    fn check_end(&mut self, task: Task, run: u32, how: How) {
-        let gang = self.gang_of(task);
-        match how {
-            How::Done if gang => {
-                let count = self.specs[&task.step.job].steps[task.step.step as usize].count;
-                self.done.extend((0..count).map(|i| task.step.task(i)));
-                self.done_runs.insert(task, run);
-            }
-            How::Done => {
-                self.done.insert(task);
-                self.done_runs.insert(task, run);
-            }
-            How::Failed => {
-                self.failed.entry(task).or_default().insert(run);
-            }
-            _ => {}
-        }
-        if gang {
-            let others = if how == How::Done { How::Done } else { How::Broken };
-            for n in 0..self.workers.len() {
-                let members: Vec<Task> = self.workers[n]
-                    .running
-                    .keys()
-                    .filter(|t| t.step == task.step)
-                    .copied()
-                    .collect();
-                let mut facts = Vec::new();
-                for t in members {
-                    self.workers[n].break_gang(t, run, others, &mut facts);
-                }
-                // Their ends are those of the gang: nothing further follows from them.
-                self.note(n, facts.into_iter().filter(|f| !matches!(f, Fact::Ended(..))).collect());
-            }
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         let now = self.now;
         match event {
@@ -517,33 +415,6 @@
         });
     }
 
-    fn end_job(&mut self, id: JobId, state: State) {
-        self.jobs.remove(&id);
-        self.progress.remove(&id);
-        self.ended.insert(id, state);
-        let job = &self.specs[&id];
-        let tasks: Vec<Task> = (0u32..)
-            .zip(&job.steps)
-            .flat_map(|(step, s)| {
-                let r = catkin_cell::StepRef { job: id, occurrence: 0, step };
-                (0..s.count).map(move |i| r.task(i))
-            })
-            .collect();
-        let failures = tasks.iter().filter_map(|t| self.failed.get(t)).map(BTreeSet::len).max();
-        let sound = match state {
-            State::Completed => tasks.iter().all(|t| self.done.contains(t)),
-            State::Failed => {
-                failures.unwrap_or(0) >= ATTEMPTS as usize || tasks.iter().any(|t| self.gang_of(*t))
-            }
-            State::Cancelled => self.cancelled.contains(&id),
-            State::Queued | State::Running => false,
-        };
-        if !sound {
-            let at = self.now;
-            self.broken.push(format!("{at:?}: job {id} is said to be {state}"));
-        }
-    }
-
     fn reach(&self, no: No) -> (usize, bool) {
         // Workers are listed in their order, so that their numbers are those of the list.
         let n: usize = no.to_string().parse().expect("a number");
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -11,7 +11,6 @@
 use crate::cx::{Cx, spawn_until};
 use crate::gate::store::Durable;
 use crate::lead::load;
-use crate::metrics;
 use catkin_cell::action::Loaded;
 use catkin_cell::cell::Advised;
 use catkin_cell::worker::{Listed, No, Reply, Seen};
@@ -176,8 +175,6 @@
 const PASS_EVERY: Duration = Duration::from_millis(8);
 /// Passes take at most one part in so many of the owner's time, so that what it hears is not kept waiting.
 const PASS_SHARE: u32 = 4;
-/// How often a line is logged on the cell as a whole.
-const SUMMARY_EVERY: Duration = Duration::from_secs(1);
 /// How often time is seen to go by.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -330,42 +327,6 @@
         self.pass_soon(now);
     }
 
-    fn summarise(&mut self, now: Duration) {
-        if now.saturating_sub(self.last_summary) < SUMMARY_EVERY {
-            return;
-        }
-        self.last_summary = now;
-        let c = self.cell.counts();
-        let s = self.cell.summary(now);
-        let asks_waiting = self.askers.waiting();
-        self.cx.metrics.cell(metrics::Cell { summary: s, counts: c, asks_waiting });
-        tracing::info!(
-            epoch = self.cell.epoch(),
-            jobs = s.jobs,
-            steps_waiting = s.steps_waiting,
-            steps_reserved = s.steps_reserved,
-            steps_unsettled = s.steps_unsettled,
-            tasks_held = s.tasks_held,
-            workers = s.workers,
-            workers_usable = s.workers_usable,
-            cpu_used = s.cpu_used_milli,
-            cpu_all = s.cpu_all_milli,
-            asks_waiting,
-            askers = self.askers.alive(now),
-            starts = c.starts,
-            done = c.done,
-            failed = c.failed,
-            lost = c.lost,
-            declined = c.declined,
-            gangs_given_up = c.gangs_given_up,
-            "owner: cell"
-        );
-        if let Some(id) = self.cell.oldest() {
-            let why = self.cell.explain(id).unwrap_or_default();
-            tracing::info!(job = catkin_types::id::format_job(id), why, "owner: oldest job");
-        }
-    }
-
     fn add(&mut self, id: JobId, job: Job, now: Duration) {
         let age = self.age(job.accepted_ms);
         self.cell.add(id, Loaded { job, ..Loaded::default() }, age, now);
--- a/crates/catkin-node/src/owner/notes.rs
+++ b/crates/catkin-node/src/owner/notes.rs
@@ -1,12 +1,54 @@
 //! What the cell decided and saw, in logs and metrics.
 
 use super::Running;
+use crate::metrics;
 use catkin_cell::cell::Cell;
 use catkin_cell::worker::millis;
 use catkin_cell::{Note, StepRef};
 use catkin_types::id::format_job;
+use std::time::Duration;
+
+/// How often a line is logged on the cell as a whole.
+const SUMMARY_EVERY: Duration = Duration::from_secs(1);
 
 impl Running {
+    /// Says how the cell as a whole is, now and then.
+    pub(super) fn summarise(&mut self, now: Duration) {
+        if now.saturating_sub(self.last_summary) < SUMMARY_EVERY {
+            return;
+        }
+        self.last_summary = now;
+        let c = self.cell.counts();
+        let s = self.cell.summary(now);
+        let asks_waiting = self.askers.waiting();
+        self.cx.metrics.cell(metrics::Cell { summary: s, counts: c, asks_waiting });
+        tracing::info!(
+            epoch = self.cell.epoch(),
+            jobs = s.jobs,
+            steps_waiting = s.steps_waiting,
+            steps_reserved = s.steps_reserved,
+            steps_unsettled = s.steps_unsettled,
+            tasks_held = s.tasks_held,
+            workers = s.workers,
+            workers_usable = s.workers_usable,
+            cpu_used = s.cpu_used_milli,
+            cpu_all = s.cpu_all_milli,
+            asks_waiting,
+            askers = self.askers.alive(now),
+            starts = c.starts,
+            done = c.done,
+            failed = c.failed,
+            lost = c.lost,
+            declined = c.declined,
+            gangs_given_up = c.gangs_given_up,
+            "owner: cell"
+        );
+        if let Some(id) = self.cell.oldest() {
+            let why = self.cell.explain(id).unwrap_or_default();
+            tracing::info!(job = catkin_types::id::format_job(id), why, "owner: oldest job");
+        }
+    }
+
     /// Logs and counts what the cell noted since the last time.
     pub(super) fn tell(&mut self) {
         for note in self.cell.take_notes() {
