--- a/crates/catkin-bench/src/load/world.rs
+++ b/crates/catkin-bench/src/load/world.rs
@@ -191,7 +191,7 @@
             match action {
                 Action::Start(s) => self.schedule(at, Due::Start(s)),
                 Action::Stop(s) => self.schedule(at, Due::Stop(s)),
-                Action::RequestAdvice(request) => self.dispatcher.push(request),
+                Action::RequestAdvice(request) => self.dispatcher.push(request, self.now),
                 Action::Poll(_) | Action::StepDown => {}
             }
         }
--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -166,6 +166,7 @@
                 continue;
             }
             self.reserved_steps.remove(&r);
+            self.counts.reservations_expired += 1;
             for (task, idx, _) in workers {
                 self.worker_mut(idx).release(&task);
                 self.clear_worker(task);
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -138,6 +138,8 @@
     pub declined: u64,
     /// Gangs that were given up because not all members started in time.
     pub gangs_given_up: u64,
+    /// Reservations that were released without a start.
+    pub reservations_expired: u64,
 }
 
 /// The size of the cell and its load at one moment.
--- a/crates/catkin-node/src/metrics/mod.rs
+++ b/crates/catkin-node/src/metrics/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::Error;
 use catkin_cell::cell::{Counts, Summary};
-use catkin_cell::worker::Reply;
+use catkin_cell::worker::{Reply, millis};
 use catkin_metrics::{Counter, Histogram, Instruments};
 use error_stack::{Report, ResultExt};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -20,6 +20,8 @@
     pub counts: Counts,
     /// The number of advice requests that wait for a daemon.
     pub asks_waiting: usize,
+    /// How long the oldest of them has waited.
+    pub longest_ask_wait: Duration,
 }
 
 /// The instruments of a daemon.
@@ -58,7 +60,7 @@
 
     fn observe_cell(&self) {
         type Value = fn(&CellSnapshot) -> u64;
-        let values: [(&'static str, &'static str, &str, Value); 14] = [
+        let values: [(&'static str, &'static str, &str, Value); 16] = [
             ("catkin_cell_jobs", "state", "open", |c| c.summary.jobs as u64),
             ("catkin_cell_steps", "state", "waiting", |c| c.summary.steps_waiting as u64),
             ("catkin_cell_steps", "state", "reserved", |c| c.summary.steps_reserved as u64),
@@ -67,7 +69,9 @@
             ("catkin_cell_workers", "state", "known", |c| c.summary.workers as u64),
             ("catkin_cell_workers", "state", "usable", |c| c.summary.workers_usable as u64),
             ("catkin_cell_questions", "state", "waiting", |c| c.asks_waiting as u64),
+            ("catkin_cell_questions", "state", "longest_wait_ms", |c| millis(c.longest_ask_wait)),
             ("catkin_cell_starts", "state", "ordered", |c| c.counts.starts),
+            ("catkin_cell_reservations", "state", "expired", |c| c.counts.reservations_expired),
             ("catkin_cell_ends", "how", "done", |c| c.counts.done),
             ("catkin_cell_ends", "how", "failed", |c| c.counts.failed),
             ("catkin_cell_ends", "how", "lost", |c| c.counts.lost),
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -31,7 +31,7 @@
             match action {
                 Action::Start(s) => self.order_start(s),
                 Action::Stop(s) => self.order_stop(s),
-                Action::RequestAdvice(request) => self.dispatcher.push(request),
+                Action::RequestAdvice(request) => self.dispatcher.push(request, now),
                 Action::Poll(index) => self.poll(index, Duration::ZERO, now, false),
                 Action::StepDown => self.superseded.cancel(),
             }
--- a/crates/catkin-node/src/owner/report.rs
+++ b/crates/catkin-node/src/owner/report.rs
@@ -21,10 +21,12 @@
         let totals = self.cell.counts();
         let overview = self.cell.summary(now);
         let asks_waiting = self.dispatcher.waiting();
+        let longest_ask_wait = self.dispatcher.longest_wait(now);
         self.cx.metrics.set_cell(metrics::CellSnapshot {
             summary: overview,
             counts: totals,
             asks_waiting,
+            longest_ask_wait,
         });
         tracing::info!(
             epoch = self.cell.epoch(),
@@ -43,6 +45,7 @@
             memory_used = overview.memory_used_mib,
             memory_all = overview.memory_all_mib,
             asks_waiting,
+            longest_ask_wait_ms = millis(longest_ask_wait),
             askers = self.dispatcher.alive(now),
             starts = totals.starts,
             done = totals.done,
@@ -50,6 +53,7 @@
             lost = totals.lost,
             declined = totals.declined,
             gangs_given_up = totals.gangs_given_up,
+            reservations_expired = totals.reservations_expired,
             "owner: cell"
         );
         if let Some(id) = self.cell.oldest_job() {
--- a/crates/catkin-node/tests/node/advice.rs
+++ b/crates/catkin-node/tests/node/advice.rs
@@ -35,8 +35,8 @@
 #[test]
 fn long_requests_use_half_of_the_daemons_while_shorter_ones_wait() {
     let mut dispatcher = dispatcher();
-    (0..10).for_each(|job| dispatcher.push(ask(job, LONG)));
-    dispatcher.push(ask(10, SHORT));
+    (0..10).for_each(|job| dispatcher.push(ask(job, LONG), NOW));
+    dispatcher.push(ask(10, SHORT), NOW);
     assert_eq!(count_dispatched(&mut dispatcher, LONG), 4);
     assert_eq!(dispatcher.waiting(), 6);
 }
@@ -44,8 +44,8 @@
 #[test]
 fn long_requests_alone_leave_two_daemons_for_later_short_requests() {
     let mut dispatcher = dispatcher();
-    (0..10).for_each(|job| dispatcher.push(ask(job, LONG)));
+    (0..10).for_each(|job| dispatcher.push(ask(job, LONG), NOW));
     assert_eq!(count_dispatched(&mut dispatcher, LONG), 6);
-    dispatcher.push(ask(10, SHORT));
+    dispatcher.push(ask(10, SHORT), NOW);
     assert_eq!(count_dispatched(&mut dispatcher, SHORT), 1);
 }
