Advice: a late request is no longer passed over for ever by shorter ones

They are now sent by the ratio of waiting time to cost (highest response ratio next): short ones still go first, and each comes up in time.

The test failed before: "the request was passed over for 36s".

--- a/crates/catkin-node/src/advice/dispatcher.rs
+++ b/crates/catkin-node/src/advice/dispatcher.rs
@@ -2,12 +2,16 @@
 
 use super::capacity::{Caller, Capacity, CostClass, LONG_THRESHOLD, is_alive};
 use catkin_cell::AdviceRequest;
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How long a daemon gets no requests after one that failed.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 
+/// The waiting time of a late request is compared with its cost in parts of this size.
+const RATIO_SCALE: u128 = 1_000;
+
 /// Assigns advice requests to daemons.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -22,6 +26,20 @@
     since: Duration,
 }
 
+impl Queued {
+    /// The requests with the smallest rank are sent first: those in time by the latest start, then late ones by the
+    /// ratio of their waiting time to their cost, so that short ones go first and none waits for ever.
+    fn rank(&self, now: Duration) -> (bool, Duration, Reverse<u128>) {
+        let request = &self.request;
+        if request.latest_start >= now {
+            return (false, request.latest_start, Reverse(0));
+        }
+        let waited = now.saturating_sub(self.since);
+        let ratio = waited.as_micros() * RATIO_SCALE / request.cost.as_micros().max(1);
+        (true, Duration::ZERO, Reverse(ratio))
+    }
+}
+
 impl Default for Dispatcher {
     fn default() -> Self {
         let own = Caller::new(None, Duration::MAX);
@@ -70,11 +88,7 @@
         let shorter_waiting =
             self.waiting.iter().any(|q| CostClass::of(q.request.cost) < CostClass::Long);
         let mut capacity = Capacity::new(&self.callers, shorter_waiting, now);
-        let rank = |q: &Queued| {
-            let late = q.request.latest_start < now;
-            (late, if late { q.request.cost } else { q.request.latest_start })
-        };
-        self.waiting.sort_by_key(rank);
+        self.waiting.sort_by_key(|q| q.rank(now));
         let mut assigned = Vec::new();
         self.waiting.retain(|Queued { request: ask, .. }| {
             if !capacity.may_fit(ask.cost) {
--- a/crates/catkin-node/tests/node/advice.rs
+++ b/crates/catkin-node/tests/node/advice.rs
@@ -49,3 +49,21 @@
     dispatcher.push(ask(10, SHORT), NOW);
     assert_eq!(count_dispatched(&mut dispatcher, SHORT), 1);
 }
+
+// Late requests were sent in the order of their cost alone: the longest one waited while shorter ones kept coming.
+#[test]
+fn a_long_late_request_is_sent_though_shorter_ones_keep_coming() {
+    let mut dispatcher = Dispatcher::default();
+    let late = |job, cost| AdviceRequest { latest_start: Duration::ZERO, ..ask(job, cost) };
+    dispatcher.push(late(0, LONG), NOW);
+    for round in 1..40 {
+        let now = NOW + LONG * round;
+        dispatcher.push(late(u64::from(round), LONG / 2), now);
+        let sent = dispatcher.dispatch(now);
+        if sent.iter().any(|(a, _)| a.step.job == 0) {
+            return;
+        }
+        sent.iter().for_each(|(a, by)| dispatcher.complete(a, *by, true, now));
+    }
+    panic!("the request was passed over for {:?}", dispatcher.longest_wait(NOW + LONG * 40));
+}
