Advice: what a request asks is decided when it is sent, and capacity is reserved only then

Cause: decisions were made when a request was queued for the adviser, and requests wait for seconds under load. - A gang whose tickets had run out reserved its capacity first and then asked for new ones. The request waited longer than the reservation lasts (4.5 s); the answer came when nothing was reserved any more. Meanwhile the capacity looked full to all others: 13 steps held it at the end, 19 reservations ended without a start. - A queued request about further workers kept its step from renewing tickets. - After a takeover the first requests of 100 steps named the 13 workers that had answered by then, and were sent so 25 s later. Now the owner asks the cell when a daemon has capacity for a request: it names the workers that are usable then, reserves what the step needs then, or drops the request. Gangs that wait for their turn have room kept in order of rank, as before. A request about further workers renews the tickets of known ones with room too, which saves the second long call; a gang that would not fit with all further workers asks nobody. Independent tasks with valid tickets no longer wait for the tickets of others.

--- a/crates/catkin-bench/src/load/world.rs
+++ b/crates/catkin-bench/src/load/world.rs
@@ -224,7 +224,8 @@
     fn dispatch(&mut self) {
         let Self { cell, dispatcher, .. } = self;
         dispatcher.retain(|a| cell.is_open(a.step.job));
-        for (request, by) in self.dispatcher.dispatch(self.now) {
+        let now = self.now;
+        for (request, by) in dispatcher.dispatch(now, |a| cell.confirm_advice(a, now)) {
             let free_at = self.callers.entry(by).or_default();
             *free_at = (*free_at).max(self.now) + request.cost;
             self.outcome.advice_time += request.cost;
--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -1,9 +1,10 @@
 //! Requests to the adviser, which says which workers may run a step.
 
 use super::Cell;
-use super::place::fit_count;
+use super::plan::fit_count;
 use crate::action::{Action, AdviceRequest};
 use crate::job::Step;
+use crate::queue::AdviceSettings;
 use crate::step::{StepState, Ticket};
 use crate::task::StepRef;
 use crate::worker::{WorkerIndex, WorkerSet};
@@ -13,7 +14,7 @@
 use std::time::Duration;
 
 /// Upper bound on the workers in one call. Longer requests are split into calls that several daemons make in parallel.
-const MAX_WORKERS_PER_CALL: usize = 75;
+pub(super) const MAX_WORKERS_PER_CALL: usize = 75;
 /// Upper bound on the workers in all parallel calls about one step.
 const MAX_WORKERS_AT_ONCE: usize = 300;
 /// Lower bound on the workers in the first call about a step, if that many are available.
@@ -46,21 +47,14 @@
         earliest_sent: Duration,
         now: Duration,
     ) {
-        let ticket_lifetime = self
-            .jobs
-            .get(&request.step.job)
-            .and_then(|j| self.queues.get(&j.job.queue)?.advice)
-            .map_or(Duration::ZERO, |a| a.ticket_lifetime);
+        let advice = self.advice_settings(request.step);
+        let ticket_lifetime = advice.map_or(Duration::ZERO, |a| a.ticket_lifetime);
+        self.complete_request(request.step, now);
         let Self { jobs, indices, .. } = self;
         let Some(step) = jobs.get_mut(&request.step.job).and_then(|j| j.step_mut(request.step))
         else {
             return;
         };
-        step.pending_requests = step.pending_requests.saturating_sub(1);
-        if step.pending_requests == 0 {
-            let asked_at = step.advice_pending_since.take();
-            step.advice_time += asked_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        }
         let AdviceAnswer::Eligible(rows) = answer else {
             step.advice_retry_at = now + ADVICE_RETRY_DELAY;
             return;
@@ -80,6 +74,21 @@
         }
     }
 
+    pub(super) fn advice_settings(&self, r: StepRef) -> Option<AdviceSettings> {
+        let j = self.jobs.get(&r.job)?;
+        self.queues.get(&j.job.queue)?.advice
+    }
+
+    /// Records that a request about a step is no longer pending.
+    pub(super) fn complete_request(&mut self, r: StepRef, now: Duration) {
+        let Some(step) = self.step_mut(r) else { return };
+        step.pending_requests = step.pending_requests.saturating_sub(1);
+        if step.pending_requests == 0 {
+            let asked_at = step.advice_pending_since.take();
+            step.advice_time += asked_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        }
+    }
+
     /// Updates the average share of workers that may run the steps of a queue.
     fn update_eligible_share(&mut self, r: StepRef, eligible_count: usize, asked: usize) {
         let Some(j) = self.jobs.get(&r.job).filter(|_| asked > 0) else { return };
@@ -109,6 +118,11 @@
         let fresh = eligible.iter().filter(|idx| !step.advised_on.contains(*idx));
         let mut fresh: Vec<(u64, WorkerIndex)> = fresh.map(|idx| (free(idx), idx)).collect();
         fresh.retain(|(free, _)| first || *free > 0);
+        let most = fresh.iter().fold(known, |sum, (free, _)| sum.saturating_add(*free));
+        if step_def.gang && !first && most < step.remaining as u64 {
+            // The gang has no room, even if all of them may run it.
+            return Vec::new();
+        }
         fresh.sort_by_key(|(free, idx)| (Reverse(*free), *idx));
         let share = self.eligible_shares.get(queue).copied().unwrap_or(DEFAULT_ELIGIBLE_SHARE);
         let mut selected = Vec::new();
@@ -132,8 +146,8 @@
         now: Duration,
         out: &mut Vec<Action>,
     ) {
+        let Some(advice) = self.advice_settings(r) else { return };
         let Some(j) = self.jobs.get(&r.job) else { return };
-        let Some(advice) = self.queues.get(&j.job.queue).and_then(|q| q.advice) else { return };
         let latest_start =
             j.deadline.saturating_sub(j.step(r).map_or(Duration::ZERO, |s| s.critical_path));
         let name = |idx: WorkerIndex| self.worker(idx).info.id.clone();
--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -101,17 +101,31 @@
         now: Duration,
         out: &mut Vec<Action>,
     ) -> bool {
-        let margin = self.opt.ticket_margin;
-        let Some(tickets) = self.step(r).and_then(|s| s.tickets.as_ref()) else { return false };
-        let is_valid =
-            |idx: &WorkerIndex| tickets.get(idx).is_some_and(|t| t.valid_until > now + margin);
-        let all = workers.iter().all(is_valid);
+        let all = workers.iter().all(|idx| self.has_valid_ticket(r, *idx, now));
         if !all {
             self.request_advice(r, workers.to_vec(), now, out);
         }
         all
     }
 
+    /// Returns whether the ticket of a worker stays valid until an order arrives there.
+    pub(super) fn has_valid_ticket(&self, r: StepRef, idx: WorkerIndex, now: Duration) -> bool {
+        let ticket = self.step(r).and_then(|s| s.tickets.as_ref()?.get(&idx));
+        ticket.is_some_and(|t| t.valid_until > now + self.opt.ticket_margin)
+    }
+
+    /// Returns the workers with reserved room for a step if any of their tickets has to be renewed.
+    pub(super) fn reserved_workers_to_ask(&self, r: StepRef, now: Duration) -> Vec<WorkerIndex> {
+        let mut workers: Vec<WorkerIndex> =
+            self.reserved_tasks(r).into_iter().map(|(_, idx, _)| idx).collect();
+        workers.sort_unstable();
+        workers.dedup();
+        if workers.iter().all(|idx| self.has_valid_ticket(r, *idx, now)) {
+            workers.clear();
+        }
+        workers
+    }
+
     fn start_task(
         &mut self,
         task: Task,
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -1,11 +1,13 @@
 //! The owner of a cell: its jobs, its workers, and the decisions about them.
 
 mod advice;
+mod confirm;
 mod gang;
 mod jobs;
 mod launch;
 mod orders;
 mod place;
+mod plan;
 mod polls;
 mod rank;
 mod save;
@@ -119,6 +121,8 @@
     quarantined_workers: HashSet<WorkerIndex>,
     /// Processors that the last scheduling pass kept free for gangs, in thousandths of a core.
     cpu_kept_milli: u64,
+    /// The room that the last scheduling pass kept free for gangs.
+    kept_room: place::KeptRoom,
     events: Vec<Event>,
     counts: Counts,
 }
@@ -200,6 +204,7 @@
             eligible_shares: HashMap::new(),
             quarantined_workers: HashSet::new(),
             cpu_kept_milli: 0,
+            kept_room: Vec::new(),
             events: Vec::new(),
             counts: Counts::default(),
         }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -1,29 +1,17 @@
 //! Placement: decides which steps get room and reserves it on workers.
 
 use super::Cell;
+use super::plan::{Candidate, Plan, fit_count};
 use crate::action::Action;
 use crate::job::Step;
 use crate::step::StepState;
 use crate::task::{StepRef, Task};
 use crate::worker::{Assignment, Phase, Worker, WorkerIndex, WorkerSet};
-use catkin_place::score::balanced_fit;
 use catkin_types::Resources;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Task indices with the workers they are placed on.
-type Plan = Vec<(u32, WorkerIndex)>;
-
-/// A worker with room for at least one task of a step.
-struct Candidate {
-    idx: WorkerIndex,
-    free: Resources,
-    /// How many more tasks of the step the worker may have.
-    max_tasks: u32,
-}
-
 /// State that is shared by all steps of one scheduling pass.
 #[derive(Default)]
 pub(super) struct Pass {
@@ -31,11 +19,22 @@
     worker_sets: HashMap<(String, Option<String>), Arc<WorkerSet>>,
     /// Room that is kept free for gangs with a higher rank.
     gang_room: HashMap<WorkerIndex, Resources>,
-    gang_count: usize,
+    /// The gangs for which room is kept, with that room.
+    kept: KeptRoom,
     /// How many more steps may send requests to the adviser in this pass.
     advice_budget: usize,
 }
 
+impl Pass {
+    /// Returns a pass that has kept this room for gangs.
+    pub(super) fn with_gang_room(gang_room: HashMap<WorkerIndex, Resources>) -> Self {
+        Self { gang_room, ..Self::default() }
+    }
+}
+
+/// The gangs for which a pass keeps room, with the workers and the room on each of them.
+pub(super) type KeptRoom = Vec<(StepRef, Vec<(WorkerIndex, Resources)>)>;
+
 /// Upper bound on the gangs for which room is kept at a time.
 const MAX_KEPT_GANGS: usize = 6;
 
@@ -59,6 +58,7 @@
             self.schedule_step(r, &mut pass, now, out);
         }
         self.cpu_kept_milli = pass.gang_room.values().map(|kept| kept.cpu_milli).sum();
+        self.kept_room = pass.kept;
         let reserved: Vec<StepRef> = self.reserved_steps.iter().copied().collect();
         for r in reserved {
             self.launch(r, now, out);
@@ -76,8 +76,7 @@
             return;
         }
         let eligible = self.eligible(r, step_def, pass, now);
-        let advice_required = self.needs_advice(r);
-        if advice_required && step.tickets.is_none() {
+        if self.needs_advice(r) && step.tickets.is_none() {
             if pass.advice_budget > 0 {
                 pass.advice_budget -= 1;
                 let to_ask = self.workers_to_ask(step, step_def, &eligible, &j.job.queue);
@@ -85,27 +84,65 @@
             }
             return;
         }
-        let candidates = self.candidates(r, step_def, &eligible, advice_required, pass);
+        let plan = self.plan_step(r, step_def, step, &eligible, pass);
+        let planned = plan.len();
+        let (ready, stale) = self.split_by_ticket(r, plan, now);
+        let to_ask = if pass.advice_budget == 0 {
+            Vec::new()
+        } else if !stale.is_empty() {
+            stale
+        } else if self.needs_advice(r) && planned < step.waiting().count() {
+            self.workers_to_ask(step, step_def, &eligible, &j.job.queue)
+        } else {
+            Vec::new()
+        };
+        if !ready.is_empty() {
+            let step_def = step_def.clone();
+            self.reserve(r, &step_def, ready, now);
+        } else if step_def.gang && pass.kept.len() < MAX_KEPT_GANGS {
+            self.keep_gang_room(r, step_def, step, &eligible, pass);
+        }
+        self.request_advice(r, to_ask, now, out);
+    }
+
+    /// Plans the waiting tasks of a step on the workers with room that may run it.
+    pub(super) fn plan_step(
+        &self,
+        r: StepRef,
+        step_def: &Step,
+        step: &StepState,
+        eligible: &WorkerSet,
+        pass: &Pass,
+    ) -> Plan {
+        let candidates = self.candidates(r, step_def, eligible, pass);
         let waiting: Vec<u32> = step.waiting().collect();
-        let plan = if step_def.gang {
+        if step_def.gang {
             self.plan_gang(step_def, &waiting, &candidates)
         } else {
             self.plan_tasks(step_def, &waiting, candidates)
-        };
-        let more_workers =
-            if advice_required && plan.len() < waiting.len() && pass.advice_budget > 0 {
-                self.workers_to_ask(step, step_def, &eligible, &j.job.queue)
-            } else {
-                Vec::new()
-            };
-        if !plan.is_empty() {
-            let step_def = step_def.clone();
-            self.reserve(r, &step_def, plan, now);
-        } else if step_def.gang && pass.gang_count < MAX_KEPT_GANGS {
-            pass.gang_count += 1;
-            self.keep_gang_room(step_def, step, &eligible, pass);
         }
-        self.request_advice(r, more_workers, now, out);
+    }
+
+    /// Splits a plan into the tasks that can start with the tickets that are known and the workers for whose tickets the
+    /// adviser has to be asked again. A gang can start with all tickets only.
+    pub(super) fn split_by_ticket(
+        &self,
+        r: StepRef,
+        plan: Plan,
+        now: Duration,
+    ) -> (Plan, Vec<WorkerIndex>) {
+        let lacks_ticket =
+            |idx: WorkerIndex| self.needs_advice(r) && !self.has_valid_ticket(r, idx, now);
+        let mut stale: Vec<WorkerIndex> =
+            plan.iter().map(|(_, idx)| *idx).filter(|idx| lacks_ticket(*idx)).collect();
+        stale.sort_unstable();
+        stale.dedup();
+        let mut ready = plan;
+        if self.is_gang(r) && !stale.is_empty() {
+            ready.clear();
+        }
+        ready.retain(|(_, idx)| stale.binary_search(idx).is_err());
+        (ready, stale)
     }
 
     fn is_advice_pending(&self, r: StepRef) -> bool {
@@ -129,7 +166,7 @@
     }
 
     /// Returns the usable workers of the step's service that have the required label.
-    fn eligible(
+    pub(super) fn eligible(
         &self,
         r: StepRef,
         step_def: &Step,
@@ -155,12 +192,11 @@
         set
     }
 
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         r: StepRef,
         step_def: &Step,
         eligible: &WorkerSet,
-        advice_required: bool,
         pass: &Pass,
     ) -> Vec<Candidate> {
         let Some(step) = self.step(r) else { return Vec::new() };
@@ -180,7 +216,7 @@
                 self.worker(idx).free().saturating_sub(&headroom).saturating_sub(&kept_for_gangs);
             (max_tasks > 0 && demand.fits(&free)).then_some(Candidate { idx, free, max_tasks })
         };
-        match (&step.tickets, advice_required) {
+        match (&step.tickets, self.needs_advice(r)) {
             (Some(tickets), true) => {
                 let mut advised: Vec<WorkerIndex> =
                     tickets.keys().copied().filter(|idx| eligible.contains(*idx)).collect();
@@ -195,6 +231,7 @@
     /// Keeps room for a gang on those eligible workers that will have it first, by the expected ends of their tasks.
     fn keep_gang_room(
         &self,
+        r: StepRef,
         step_def: &Step,
         step: &StepState,
         eligible: &WorkerSet,
@@ -225,10 +262,12 @@
             return;
         }
         slots.sort_unstable();
-        for (_, idx) in slots.into_iter().take(count) {
-            let reserved_room = pass.gang_room.entry(idx).or_default();
+        slots.truncate(count);
+        for (_, idx) in &slots {
+            let reserved_room = pass.gang_room.entry(*idx).or_default();
             *reserved_room = reserved_room.saturating_add(&demand);
         }
+        pass.kept.push((r, slots.into_iter().map(|(_, idx)| (idx, demand)).collect()));
     }
 
     /// Returns the room that a task of a non-urgent step must leave free on a worker for urgent tasks; gangs leave
@@ -239,69 +278,8 @@
         if urgent || step_def.gang { Resources::default() } else { self.urgent_size }
     }
 
-    fn is_on_other_rack(&self, step_def: &Step, idx: WorkerIndex) -> bool {
-        step_def.near.as_ref().is_some_and(|rack| *rack != self.worker(idx).info.rack)
-    }
-
-    fn plan_tasks(&self, step_def: &Step, waiting: &[u32], mut candidates: Vec<Candidate>) -> Plan {
-        let demand = step_def.demand();
-        let score = |c: &Candidate| balanced_fit(&self.worker(c.idx).host, &c.free, &demand);
-        let mut scores: Vec<(bool, f64)> =
-            candidates.iter().map(|c| (self.is_on_other_rack(step_def, c.idx), score(c))).collect();
-        let mut plan = Plan::new();
-        for i in waiting {
-            let open = (0..candidates.len())
-                .filter(|n| candidates[*n].max_tasks > 0 && demand.fits(&candidates[*n].free));
-            let best = open.min_by(|a, b| {
-                let ((far_a, a), (far_b, b)) = (scores[*a], scores[*b]);
-                far_a.cmp(&far_b).then(a.total_cmp(&b))
-            });
-            let Some(best) = best else { break };
-            let c = &mut candidates[best];
-            c.free = c.free.saturating_sub(&demand);
-            c.max_tasks -= 1;
-            scores[best].1 = score(&candidates[best]);
-            plan.push((*i, candidates[best].idx));
-        }
-        plan
-    }
-
-    /// Returns a placement of all members, or an empty plan.
-    fn plan_gang(&self, step_def: &Step, waiting: &[u32], candidates: &[Candidate]) -> Plan {
-        if step_def.same_rack {
-            let mut racks: BTreeMap<&str, Vec<&Candidate>> = BTreeMap::new();
-            for c in candidates {
-                racks.entry(&self.worker(c.idx).info.rack).or_default().push(c);
-            }
-            let plans = racks.into_values().map(|c| self.pack(step_def, waiting, c));
-            if let Some(plan) = plans.into_iter().find(|p| !p.is_empty()) {
-                return plan;
-            }
-        }
-        self.pack(step_def, waiting, candidates.iter().collect())
-    }
-
-    /// Places all tasks on as few workers as possible, or returns an empty plan.
-    fn pack(&self, step_def: &Step, waiting: &[u32], candidates: Vec<&Candidate>) -> Plan {
-        let demand = step_def.demand();
-        let max_fit = |c: &Candidate| fit_count(&c.free, &demand).min(u64::from(c.max_tasks));
-        let mut order: Vec<(bool, Reverse<u64>, WorkerIndex)> = candidates
-            .into_iter()
-            .map(|c| (self.is_on_other_rack(step_def, c.idx), Reverse(max_fit(c)), c.idx))
-            .collect();
-        order.sort_unstable();
-        let total: u64 = order.iter().map(|(_, n, _)| n.0).sum();
-        if total < waiting.len() as u64 {
-            return Plan::new();
-        }
-        let places = order.iter().flat_map(|(_, n, idx)| {
-            std::iter::repeat_n(*idx, usize::try_from(n.0).unwrap_or(usize::MAX))
-        });
-        waiting.iter().copied().zip(places).collect()
-    }
-
     /// Reserves the room of a plan.
-    fn reserve(&mut self, r: StepRef, step_def: &Step, plan: Plan, now: Duration) {
+    pub(super) fn reserve(&mut self, r: StepRef, step_def: &Step, plan: Plan, now: Duration) {
         let expected = Duration::from_millis(step_def.estimate_ms);
         if let Some(step) = self.step_mut(r).filter(|s| !s.any_assigned()) {
             // No task of the step is on a worker: the workers of earlier starts no longer have to be recorded.
@@ -346,9 +324,3 @@
         }
     }
 }
-
-/// Returns how many times `size` fits into `available`.
-pub(super) fn fit_count(available: &Resources, size: &Resources) -> u64 {
-    let pairs = available.as_array().into_iter().zip(size.as_array());
-    pairs.filter(|(_, s)| *s > 0).map(|(r, s)| r / s).min().unwrap_or(u64::from(u32::MAX))
-}
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -3,5 +3,6 @@
 mod advice;
 mod faults;
 mod owner;
+mod queued_advice;
 mod worker;
 mod world;
--- a/crates/catkin-node/src/advice/capacity.rs
+++ b/crates/catkin-node/src/advice/capacity.rs
@@ -103,9 +103,9 @@
         self.exhausted = Some(CostClass::of(cost));
     }
 
-    /// Picks the least loaded daemon that has capacity for a request of this cost.
-    pub(super) fn assign<'a>(
-        &mut self,
+    /// Returns the least loaded daemon that has capacity for a request of this cost.
+    pub(super) fn find<'a>(
+        &self,
         callers: &'a mut [Caller],
         cost: Duration,
         now: Duration,
@@ -128,10 +128,15 @@
                 }
         };
         let free = callers.iter_mut().enumerate().filter(fits);
-        let (_, caller) = free.min_by_key(|(_, a)| a.pending_cost)?;
-        if class == CostClass::Long {
-            self.long_left -= 1;
+        free.min_by_key(|(_, a)| a.pending_cost).map(|(_, a)| a)
+    }
+
+    /// Assigns a request of this cost to `caller`.
+    pub(super) fn take(&mut self, caller: &mut Caller, cost: Duration) {
+        caller.pending_cost += cost;
+        caller.has_long = cost > LONG_THRESHOLD;
+        if caller.has_long {
+            self.long_left = self.long_left.saturating_sub(1);
         }
-        Some(caller)
     }
 }
--- a/crates/catkin-node/src/advice/dispatcher.rs
+++ b/crates/catkin-node/src/advice/dispatcher.rs
@@ -82,25 +82,31 @@
         self.callers.iter().filter(|a| is_alive(a, now)).count()
     }
 
-    /// Removes the requests that a daemon has capacity for from the queue. Returns each with the daemon that makes the
-    /// call, `None` for this daemon.
-    pub fn dispatch(&mut self, now: Duration) -> Vec<(AdviceRequest, Option<SocketAddr>)> {
+    /// Removes the requests that a daemon has capacity for from the queue. `confirm` returns what to ask now in place of
+    /// each, or `None` if its step needs nothing. Returns each request with the daemon that makes the call, `None` for
+    /// this daemon.
+    pub fn dispatch(
+        &mut self,
+        now: Duration,
+        mut confirm: impl FnMut(AdviceRequest) -> Option<AdviceRequest>,
+    ) -> Vec<(AdviceRequest, Option<SocketAddr>)> {
         let shorter_waiting =
             self.waiting.iter().any(|q| CostClass::of(q.request.cost) < CostClass::Long);
         let mut capacity = Capacity::new(&self.callers, shorter_waiting, now);
         self.waiting.sort_by_key(|q| q.rank(now));
         let mut assigned = Vec::new();
-        self.waiting.retain(|Queued { request: ask, .. }| {
-            if !capacity.may_fit(ask.cost) {
+        self.waiting.retain(|Queued { request, .. }| {
+            if !capacity.may_fit(request.cost) {
                 return true;
             }
-            let Some(caller) = capacity.assign(&mut self.callers, ask.cost, now) else {
-                capacity.mark_exhausted(ask.cost);
+            let Some(caller) = capacity.find(&mut self.callers, request.cost, now) else {
+                capacity.mark_exhausted(request.cost);
                 return true;
             };
-            caller.pending_cost += ask.cost;
-            caller.has_long = ask.cost > LONG_THRESHOLD;
-            assigned.push((ask.clone(), caller.addr));
+            if let Some(confirmed) = confirm(request.clone()) {
+                capacity.take(caller, confirmed.cost);
+                assigned.push((confirmed, caller.addr));
+            }
             false
         });
         assigned
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -40,9 +40,9 @@
 
     /// Dispatches waiting advice requests to the daemons that have capacity for them.
     fn dispatch_advice_requests(&mut self, now: Duration) {
-        let cell = &self.cell;
-        self.dispatcher.retain(|a| cell.is_open(a.step.job));
-        for (request, by) in self.dispatcher.dispatch(now) {
+        let Self { cell, dispatcher, .. } = self;
+        dispatcher.retain(|a| cell.is_open(a.step.job));
+        for (request, by) in dispatcher.dispatch(now, |a| cell.confirm_advice(a, now)) {
             let (cx, myself) = (std::sync::Arc::clone(&self.cx), self.myself.clone());
             self.spawn(async move {
                 let sent = cx.now();
--- a/crates/catkin-node/tests/node/advice.rs
+++ b/crates/catkin-node/tests/node/advice.rs
@@ -29,7 +29,7 @@
 }
 
 fn count_dispatched(dispatcher: &mut Dispatcher, cost: Duration) -> usize {
-    dispatcher.dispatch(NOW).iter().filter(|(a, _)| a.cost == cost).count()
+    dispatcher.dispatch(NOW, Some).iter().filter(|(a, _)| a.cost == cost).count()
 }
 
 #[test]
@@ -59,11 +59,13 @@
     for round in 1..40 {
         let now = NOW + LONG * round;
         dispatcher.push(late(u64::from(round), LONG / 2), now);
-        let sent = dispatcher.dispatch(now);
+        let sent = dispatcher.dispatch(now, Some);
         if sent.iter().any(|(a, _)| a.step.job == 0) {
             return;
         }
-        sent.iter().for_each(|(a, by)| dispatcher.complete(a, *by, true, now));
+        for (a, by) in sent {
+            dispatcher.complete(&a, by, true, now);
+        }
     }
     panic!("the request was passed over for {:?}", dispatcher.longest_wait(NOW + LONG * 40));
 }
