cell: the tasks of a worker are visited in their order, so that a run of the model repeats

Orders to stop for several tasks of one worker go out in the order of a HashMap, which differs from process to process. In the simulated world each of them draws a delay, so a seed doesn't always give the same run again, and a failing seed may not show its fault a second time. The assignments of a worker are now in a BTreeMap, and the jobs of the world's table too.

Seen failing before: liveness::orders_to_stop_in_random_order, eight orders to stop in the order 4 3 7 1 2 5 0 6.

--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -3,7 +3,7 @@
 use crate::task::Task;
 use catkin_place::Host;
 use catkin_types::{Incarnation, JobId, Resources, WorkerId, Zone};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// The entry of a worker in the list of workers.
@@ -210,7 +210,7 @@
     /// When the worker restarted while this owner knew it. Calls meant for the earlier incarnation, with times of
     /// another clock, may have reached the current one.
     pub restarted_at: Option<Duration>,
-    pub assignments: HashMap<Task, Assignment>,
+    pub assignments: BTreeMap<Task, Assignment>,
     pub acknowledged: u64,
     pub newest_end: u64,
     pub unacknowledged: VecDeque<UnacknowledgedEnd>,
--- /dev/null
+++ b/crates/catkin-cell/tests/cell/fixture.rs
@@ -0,0 +1,146 @@
+//! A cell whose workers say exactly what a test lets them say.
+
+use catkin_cell::action::StoredJob;
+use catkin_cell::job::{Job, Step};
+use catkin_cell::worker::{
+    EndReason, Reply, RunningTask, TaskEnd, WorkerIndex, WorkerInfo, WorkerReport, millis,
+};
+use catkin_cell::{Action, Cell, Options, Queue, Start, StepRef, Stop, Task};
+use catkin_types::{Incarnation, JobId, Resources};
+use std::time::Duration;
+
+/// How far each call of [`Fixture::tick`] advances the time.
+pub const TICK: Duration = Duration::from_millis(50);
+/// The incarnation in which the workers of a [`Fixture`] begin.
+pub const FIRST_INCARNATION: Incarnation = 100;
+/// The priority of the queue for jobs that are not urgent.
+const NOT_URGENT: u32 = 2;
+
+/// A cell, its time, and the actions that it requested.
+pub struct Fixture {
+    pub cell: Cell,
+    pub now: Duration,
+    pub out: Vec<Action>,
+}
+
+/// Returns the entry of worker `n` in the list of workers.
+pub fn entry(n: usize, incarnation: Incarnation) -> WorkerInfo {
+    WorkerInfo {
+        id: format!("w{n}"),
+        addr: format!("10.0.0.{n}:1"),
+        incarnation,
+        service: "s".into(),
+        capacity: Resources::new(4_000, 4_000, 0),
+        ..WorkerInfo::default()
+    }
+}
+
+/// Returns the first task of the first step of a job.
+pub fn first_task(job: JobId) -> Task {
+    StepRef { job, ..StepRef::default() }.task(0)
+}
+
+impl Fixture {
+    /// Returns a cell with `workers` workers, all of which have answered.
+    pub fn new(workers: usize) -> Self {
+        let mut cell = Cell::new(Options::default(), 1, Duration::from_secs(1));
+        let queue = |priority| Queue {
+            service: "s".into(),
+            priority,
+            max_attempts: 3,
+            stretch: 2.0,
+            objective: Duration::from_secs(2),
+            advice: None,
+        };
+        cell.configure([("urgent".to_owned(), queue(0)), ("batch".to_owned(), queue(NOT_URGENT))]);
+        let mut f = Self { cell, now: Duration::from_secs(1), out: Vec::new() };
+        let list = (0..workers).map(|n| entry(n, FIRST_INCARNATION)).collect();
+        f.cell.update_workers(list, false, f.now);
+        (0..workers).for_each(|n| f.report(n, FIRST_INCARNATION, &[]));
+        f
+    }
+
+    /// Returns the index of worker `n`.
+    pub fn worker(&self, n: usize) -> WorkerIndex {
+        self.cell.worker_indices().nth(n).expect("the worker is listed")
+    }
+
+    /// Accepts a job of the queue `queue`.
+    pub fn accept(&mut self, id: JobId, queue: &str, steps: Vec<Step>) {
+        let job = Job { queue: queue.into(), service: "s".into(), steps, ..Job::default() };
+        let stored = StoredJob { job, ..StoredJob::default() };
+        self.cell.add(id, stored, Duration::ZERO, self.now);
+    }
+
+    /// Advances the time by one tick. Writes become durable at once.
+    pub fn tick(&mut self) {
+        self.now += TICK;
+        self.cell.tick(self.now, &mut self.out);
+        let batch = self.cell.take_writes(|_| true, usize::MAX);
+        self.cell.handle_written(&batch, self.now);
+        self.cell.tick(self.now, &mut self.out);
+    }
+
+    /// Advances the time by `duration`.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    /// Handles the answer of worker `n` to a poll that was sent now. Its clock shows the time of the test.
+    pub fn report(&mut self, n: usize, incarnation: Incarnation, running: &[(Task, u32)]) {
+        self.report_ends(n, incarnation, running, &[]);
+    }
+
+    /// Like [`Fixture::report`], with runs that have succeeded, numbered from 1.
+    pub fn report_ends(
+        &mut self,
+        n: usize,
+        incarnation: Incarnation,
+        running: &[(Task, u32)],
+        done: &[(Task, u32)],
+    ) {
+        let to_running = |(task, run): &(Task, u32)| RunningTask {
+            task: *task,
+            run: *run,
+            ..RunningTask::default()
+        };
+        let to_end = |(number, (task, run)): (u64, &(Task, u32))| TaskEnd {
+            number,
+            task: *task,
+            run: *run,
+            reason: EndReason::Done,
+            checkpoint: String::new(),
+        };
+        let report = WorkerReport {
+            clock_ms: millis(self.now),
+            incarnation,
+            running: running.iter().map(to_running).collect(),
+            ended: (1..).zip(done).map(to_end).collect(),
+        };
+        let idx = self.worker(n);
+        self.cell.poll_params(idx, self.now);
+        self.cell.handle_report(idx, self.now, &report, self.now, &mut self.out);
+    }
+
+    /// Returns the orders to start since the last call.
+    pub fn take_starts(&mut self) -> Vec<Start> {
+        let actions = std::mem::take(&mut self.out).into_iter();
+        actions.filter_map(|a| if let Action::Start(s) = a { Some(s) } else { None }).collect()
+    }
+
+    /// Returns the orders to stop since the last call.
+    pub fn take_stops(&mut self) -> Vec<Stop> {
+        let actions = std::mem::take(&mut self.out).into_iter();
+        actions.filter_map(|a| if let Action::Stop(s) = a { Some(s) } else { None }).collect()
+    }
+
+    /// Answers orders to start.
+    pub fn reply(&mut self, starts: &[Start], reply: Reply) {
+        for s in starts {
+            self.cell.handle_start_reply(s, reply, self.now, &mut self.out);
+        }
+    }
+}
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -2,6 +2,8 @@
 
 mod advice;
 mod faults;
+mod fixture;
+mod liveness;
 mod owner;
 mod worker;
 mod world;
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -42,7 +42,7 @@
     seq: u64,
     queue: Queue,
     // The rows of the table.
-    jobs: HashMap<JobId, Job>,
+    jobs: BTreeMap<JobId, Job>,
     progress: HashMap<JobId, Progress>,
     pub ended: HashMap<JobId, State>,
     // What the invariant checks know.
@@ -93,7 +93,7 @@
             events: BTreeMap::new(),
             seq: 0,
             queue,
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             progress: HashMap::new(),
             ended: HashMap::new(),
             accepted: HashMap::new(),
