cell: a task is no longer kept for ever on a worker whose address belongs to another one

What callers would see: an accepted job with nothing running until the next takeover. A start gets no answer, the worker leaves, and another worker takes its address. That one refuses every poll and every order to stop with 421. Each refusal restarted the worker in the cell, which turned the unanswered start into a task to stop and began the waiting period for stray orders again. It never counted as a missed poll, so the lease never ran out either: the task stayed assigned, and a gang with such a member was never started again. The worker was also polled for ever, and an order to stop went out with each pass.

A refused poll now counts as missed, as no answer of the worker that was meant. The waiting period runs from the first restart: no start and no lease is requested from a worker that has not answered since, so a later restart adds no call that could still arrive. A task that is stopping already keeps its resend interval. A poll that is refused for another reason counts as missed as well.

Seen failing before: liveness::task_kept_on_a_worker_whose_address_belongs_to_another and liveness::orders_to_stop_refused_by_another_worker_at_the_address, both with 'assignment Some((Stopping, 1, 1ns))' after 14 s.

--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -109,9 +109,11 @@
         gone && w.assignments.is_empty() && w.missed_polls > 0
     }
 
-    /// Handles an answer that says that the worker is in another incarnation than the known one.
+    /// Handles a poll that another incarnation refused. The poll counts as missed, since the worker may have left for
+    /// good and its address may belong to another one.
     pub fn handle_other_incarnation(&mut self, idx: WorkerIndex) {
         self.restart_worker(idx, 0);
+        self.handle_missed_poll(idx);
     }
 
     /// Returns the parameters of a poll of a worker at `now`, and records the lease that they request.
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -207,8 +207,8 @@
     pub clock_reading: Option<(u64, Duration)>,
     /// The latest end of a lease that was requested, on the worker's clock.
     pub lease_to_ms: u64,
-    /// When the worker restarted while this owner knew it. Calls meant for the earlier incarnation, with times of
-    /// another clock, may have reached the current one.
+    /// When the worker restarted while this owner knew it; the first time if it has restarted again without an answer.
+    /// Calls meant for the earlier incarnation, with times of another clock, may have reached the current one.
     pub restarted_at: Option<Duration>,
     pub assignments: BTreeMap<Task, Assignment>,
     pub acknowledged: u64,
@@ -278,9 +278,11 @@
     ) -> Vec<Task> {
         self.info.incarnation = incarnation;
         self.confirmed = false;
-        self.clock_reading = None;
+        // A worker that has not answered since its last restart got no starts and no leases since then.
+        if self.clock_reading.take().is_some() || self.restarted_at.is_none() {
+            self.restarted_at = Some(now);
+        }
         self.lease_to_ms = 0;
-        self.restarted_at = Some(now);
         self.acknowledged = 0;
         self.newest_end = 0;
         self.unacknowledged.clear();
@@ -291,9 +293,11 @@
             self.release(task);
         }
         for assignment in self.assignments.values_mut() {
-            assignment.phase = Phase::Stopping;
             assignment.stop_acked_at = None;
-            assignment.since = RESEND_NOW;
+            if assignment.phase != Phase::Stopping {
+                assignment.phase = Phase::Stopping;
+                assignment.since = RESEND_NOW;
+            }
         }
         lost_tasks
     }
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -1,9 +1,10 @@
 //! Failures after which a step that fits was never started again.
 
-use crate::fixture::Fixture;
+use crate::fixture::{FIRST_INCARNATION, Fixture};
 use crate::owner::step;
-use catkin_cell::Task;
 use catkin_cell::worker::Reply;
+use catkin_cell::{Action, Start, Task};
+use std::time::Duration;
 
 #[test]
 fn orders_to_stop_in_random_order() {
@@ -14,7 +15,71 @@
     assert_eq!(starts.len(), 8);
     f.reply(&starts, Reply::Unknown);
     f.tick();
-    f.report(0, crate::fixture::FIRST_INCARNATION, &[]);
+    f.report(0, FIRST_INCARNATION, &[]);
     let stopped: Vec<Task> = f.take_stops().iter().map(|s| s.task).collect();
     assert_eq!(stopped, starts.iter().map(|s| s.task).collect::<Vec<_>>());
 }
+
+/// The time within which a task has to be started again once nothing of it can run any more.
+const RESTART_BOUND: Duration = Duration::from_secs(14);
+
+/// Returns a cell in which the start of a job's only task got no answer, and the number of the worker that got it.
+fn with_unanswered_start() -> (Fixture, usize) {
+    let mut f = Fixture::new(2);
+    f.accept(1, "batch", vec![step(1, 1_000, 1_000)]);
+    f.tick();
+    let starts = f.take_starts();
+    f.reply(&starts, Reply::Unknown);
+    let n = starts[0].worker.index();
+    (f, n)
+}
+
+/// Runs until a task is started and returns the order, or fails once `RESTART_BOUND` has passed.
+fn next_start(f: &mut Fixture, mut each_tick: impl FnMut(&mut Fixture)) -> Start {
+    let end = f.now + RESTART_BOUND;
+    while f.now < end {
+        f.tick();
+        if let Some(s) = f.take_starts().pop() {
+            return s;
+        }
+        each_tick(f);
+    }
+    panic!("no task started: {:?}", f.cell.explain(1));
+}
+
+#[test]
+fn task_kept_on_a_worker_whose_address_belongs_to_another() {
+    let (mut f, gone) = with_unanswered_start();
+    let idx = f.worker(gone);
+    let other = 1 - gone;
+    let s = next_start(&mut f, |f| {
+        f.cell.handle_other_incarnation(idx);
+        f.report(other, FIRST_INCARNATION, &[]);
+    });
+    assert_eq!(s.worker.index(), other);
+}
+
+#[test]
+fn orders_to_stop_refused_by_another_worker_at_the_address() {
+    let (mut f, gone) = with_unanswered_start();
+    let idx = f.worker(gone);
+    f.cell.handle_other_incarnation(idx);
+    let end = f.now + RESTART_BOUND;
+    let mut started = false;
+    while f.now < end && !started {
+        f.tick();
+        for action in std::mem::take(&mut f.out) {
+            match action {
+                Action::Start(_) => started = true,
+                Action::Stop(s) => {
+                    let now = f.now;
+                    f.cell.handle_stop_reply(&s, Reply::OtherLife, now, &mut f.out);
+                }
+                _ => {}
+            }
+        }
+        f.cell.handle_other_incarnation(idx);
+        f.report(1 - gone, FIRST_INCARNATION, &[]);
+    }
+    assert!(started, "{:?}", f.cell.explain(1));
+}
--- a/crates/catkin-node/src/owner/polls.rs
+++ b/crates/catkin-node/src/owner/polls.rs
@@ -105,6 +105,8 @@
                 tracing::info!(worker, "owner: poll refused: {reply:?}");
                 if reply == Reply::OtherLife {
                     self.cell.handle_other_incarnation(index);
+                } else {
+                    self.cell.handle_missed_poll(index);
                 }
                 RETRY_DELAY
             }
