cell: a worker that restarts after its clock went back is no longer ignored until the next takeover

What callers would see: jobs whose tasks ran on the worker have nothing running, and its capacity is lost to the service. A worker starts again under its id with an earlier start time. handle_report ignored reports with a lower incarnation than the known one: the worker answers all polls, so none is missed, no lease runs out, and its tasks of before stay assigned.

An answer to a poll that was sent after the owner learned of an incarnation can only come from this one or a later one. Such an answer now counts as a restart, whatever its number; an answer to an earlier poll is ignored if it names another incarnation. No clocks of two machines are compared. An entry in the list counts as a restart only if it changed, since the entry of the earlier incarnation may be read again after the worker has answered in the later one; otherwise the tasks that run would count as lost. Restarts are recorded at the time of the event, no longer at that of the last pass.

Seen failing before: liveness::worker_whose_clock_went_back_ignored_for_ever ('assignment Some((Running, 1, 1.05s))' after 14 s) and liveness::late_answer_of_an_earlier_incarnation_taken_for_a_new_one, the same at its first half.

--- a/crates/catkin-cell/src/cell/orders.rs
+++ b/crates/catkin-cell/src/cell/orders.rs
@@ -32,7 +32,7 @@
                 out.push(Action::Poll(s.worker));
             }
             Reply::OtherLife => {
-                self.restart_worker(s.worker, 0);
+                self.restart_worker(s.worker, 0, now);
                 out.push(Action::Poll(s.worker));
             }
             Reply::Late => {
@@ -93,7 +93,7 @@
             Reply::Fenced => out.push(Action::StepDown),
             Reply::OtherLife => {
                 if self.worker(s.worker).info.incarnation == s.incarnation {
-                    self.restart_worker(s.worker, 0);
+                    self.restart_worker(s.worker, 0, now);
                 }
                 out.push(Action::Poll(s.worker));
             }
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -34,10 +34,12 @@
     ) {
         let w = self.worker_mut(idx);
         if report.incarnation != 0 && report.incarnation != w.info.incarnation {
-            if w.info.incarnation > report.incarnation {
+            // Only a later incarnation can answer a poll that was sent after the known one was learned of. Its number may
+            // be lower, since wall clocks can go back.
+            if sent < w.incarnation_known_at {
                 return;
             }
-            self.restart_worker(idx, report.incarnation);
+            self.restart_worker(idx, report.incarnation, now);
         }
         let w = self.worker_mut(idx);
         // Answers that arrive over different connections may be out of order: ignores the older one.
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -37,7 +37,7 @@
         let mut present: Vec<WorkerId> = Vec::with_capacity(listed.len());
         for entry in listed {
             present.push(entry.id.clone());
-            self.update_worker(entry);
+            self.update_worker(entry, now);
         }
         if partial {
             return;
@@ -50,24 +50,30 @@
         }
     }
 
-    fn update_worker(&mut self, entry: WorkerInfo) {
+    fn update_worker(&mut self, entry: WorkerInfo, now: Duration) {
         let idx = if let Some(idx) = self.indices.get(&entry.id) {
             *idx
         } else {
             let idx = WorkerIndex(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
             self.indices.insert(entry.id.clone(), idx);
-            self.workers.push(Worker::default());
+            self.workers.push(Worker { incarnation_known_at: now, ..Worker::default() });
             idx
         };
         let w = self.worker_mut(idx);
         let known_incarnation = w.info.incarnation;
         let incarnation =
             if known_incarnation == 0 { entry.incarnation } else { known_incarnation };
-        let restarted = known_incarnation != 0 && entry.incarnation > known_incarnation;
         let listed_incarnation = entry.incarnation;
+        // The entry of an earlier incarnation may stay listed after the worker has answered in a later one.
+        let is_news =
+            std::mem::replace(&mut w.listed_incarnation, listed_incarnation) != listed_incarnation;
+        let restarted = known_incarnation != 0 && listed_incarnation > known_incarnation;
+        if incarnation != known_incarnation {
+            w.incarnation_known_at = now;
+        }
         w.update_info(WorkerInfo { incarnation, ..entry });
-        if restarted {
-            self.restart_worker(idx, listed_incarnation);
+        if restarted && is_news {
+            self.restart_worker(idx, listed_incarnation, now);
         }
     }
 
@@ -111,8 +117,8 @@
 
     /// Handles a poll that another incarnation refused. The poll counts as missed, since the worker may have left for
     /// good and its address may belong to another one.
-    pub fn handle_other_incarnation(&mut self, idx: WorkerIndex) {
-        self.restart_worker(idx, 0);
+    pub fn handle_other_incarnation(&mut self, idx: WorkerIndex, now: Duration) {
+        self.restart_worker(idx, 0, now);
         self.handle_missed_poll(idx);
     }
 
@@ -146,8 +152,12 @@
     }
 
     /// Handles a restart of the worker: the tasks of its last incarnation are lost.
-    pub(super) fn restart_worker(&mut self, idx: WorkerIndex, incarnation: Incarnation) {
-        let now = self.now;
+    pub(super) fn restart_worker(
+        &mut self,
+        idx: WorkerIndex,
+        incarnation: Incarnation,
+        now: Duration,
+    ) {
         let w = self.worker_mut(idx);
         let lost = w.begin_incarnation(incarnation, now);
         let id = w.info.id.clone();
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -201,6 +201,10 @@
     /// The capacity and the reserved resources.
     pub host: Host,
     pub missing_since: Option<Duration>,
+    /// The incarnation that the list of workers names.
+    pub listed_incarnation: Incarnation,
+    /// When this owner learned of the incarnation that `info` names.
+    pub incarnation_known_at: Duration,
     /// Whether the worker has answered a poll of this owner in its current incarnation.
     pub confirmed: bool,
     /// The worker's clock, and the owner's time at which it was read.
@@ -277,6 +281,7 @@
         now: Duration,
     ) -> Vec<Task> {
         self.info.incarnation = incarnation;
+        self.incarnation_known_at = now;
         self.confirmed = false;
         // A worker that has not answered since its last restart got no starts and no leases since then.
         if self.clock_reading.take().is_some() || self.restarted_at.is_none() {
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -1,8 +1,8 @@
 //! Failures after which a step that fits was never started again.
 
-use crate::fixture::{FIRST_INCARNATION, Fixture};
+use crate::fixture::{FIRST_INCARNATION, Fixture, entry, first_task};
 use crate::owner::step;
-use catkin_cell::worker::Reply;
+use catkin_cell::worker::{Reply, WorkerReport};
 use catkin_cell::{Action, Start, Task};
 use std::time::Duration;
 
@@ -53,7 +53,7 @@
     let idx = f.worker(gone);
     let other = 1 - gone;
     let s = next_start(&mut f, |f| {
-        f.cell.handle_other_incarnation(idx);
+        f.cell.handle_other_incarnation(idx, f.now);
         f.report(other, FIRST_INCARNATION, &[]);
     });
     assert_eq!(s.worker.index(), other);
@@ -63,7 +63,7 @@
 fn orders_to_stop_refused_by_another_worker_at_the_address() {
     let (mut f, gone) = with_unanswered_start();
     let idx = f.worker(gone);
-    f.cell.handle_other_incarnation(idx);
+    f.cell.handle_other_incarnation(idx, f.now);
     let end = f.now + RESTART_BOUND;
     let mut started = false;
     while f.now < end && !started {
@@ -78,8 +78,45 @@
                 _ => {}
             }
         }
-        f.cell.handle_other_incarnation(idx);
+        f.cell.handle_other_incarnation(idx, f.now);
         f.report(1 - gone, FIRST_INCARNATION, &[]);
     }
     assert!(started, "{:?}", f.cell.explain(1));
 }
+
+#[test]
+fn worker_whose_clock_went_back_ignored_for_ever() {
+    let mut f = Fixture::new(1);
+    f.accept(1, "batch", vec![step(1, 1_000, 60_000)]);
+    f.tick();
+    let starts = f.take_starts();
+    f.reply(&starts, Reply::Done);
+    f.report(0, FIRST_INCARNATION, &[(starts[0].task, starts[0].run)]);
+    // The worker restarts, and its wall clock shows an earlier time than at its first start.
+    f.tick();
+    let s = next_start(&mut f, |f| f.report(0, FIRST_INCARNATION - 1, &[]));
+    assert_eq!(s.task, first_task(1));
+}
+
+#[test]
+fn late_answer_of_an_earlier_incarnation_taken_for_a_new_one() {
+    let mut f = Fixture::new(1);
+    f.accept(1, "batch", vec![step(1, 1_000, 60_000)]);
+    let sent = f.now;
+    f.tick();
+    let starts = f.take_starts();
+    f.reply(&starts, Reply::Done);
+    f.report(0, FIRST_INCARNATION, &[(starts[0].task, starts[0].run)]);
+    f.tick();
+    let s = next_start(&mut f, |f| f.report(0, FIRST_INCARNATION - 1, &[]));
+    f.reply(&[s.clone()], Reply::Done);
+    f.report(0, FIRST_INCARNATION - 1, &[(s.task, s.run)]);
+    // The entry in the list and an answer to an old poll still name the earlier incarnation.
+    f.cell.update_workers(vec![entry(0, FIRST_INCARNATION)], false, f.now);
+    let late = WorkerReport { incarnation: FIRST_INCARNATION, ..WorkerReport::default() };
+    let idx = f.worker(0);
+    f.cell.handle_report(idx, sent, &late, f.now, &mut f.out);
+    f.run(Duration::from_secs(1));
+    assert_eq!(f.cell.counts().lost, 1, "{:?}", f.cell.explain(1));
+    assert!(f.take_starts().is_empty());
+}
