cell: the end of an earlier run of a gang releases what its next run has on workers

What callers would see: capacity of the service that no job can get until the next takeover. A gang is considered lost, gets room again, and then a worker lists that the earlier run is done (a lease that ran out while the worker could not be reached). The gang was complete, so its step left the reserved steps, but its reservations stayed on the workers: nothing else ever releases them. Members that had been ordered to start again ran on beside the end. A single task had the same case covered; a gang did not, since the other members of the run that ended stop by themselves.

The members whose run differs from the one that ended are now stopped, or their reservations released.

Seen failing before: liveness::room_reserved_for_a_gang_whose_earlier_run_ended_kept_for_ever, (jobs, tasks held, cpu used) = (0, 2, 6000) five seconds after the end; liveness::members_started_again_after_the_gang_was_done_run_on, no order to stop.

--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -119,7 +119,7 @@
         match end.reason {
             EndReason::Done if !step_def.long_running => {
                 self.update_health(idx, task, true, now);
-                Some(self.handle_done(task, step_def.gang, out))
+                Some(self.handle_done(task, end.run, step_def.gang, out))
             }
             EndReason::Failed if !step_def.long_running => {
                 self.update_health(idx, task, false, now);
@@ -139,14 +139,37 @@
         fleet.record_end(&workers[idx.index()].info.id, task.step.job, success, now);
     }
 
+    /// Returns the tasks on workers that the end of a run makes superfluous: runs that replaced it after it was
+    /// considered lost. The other members of the same run of a gang end by themselves.
+    fn replacements(&self, task: Task, run: u32, gang: bool) -> Vec<Task> {
+        let Some(step) = self.step(task.step) else { return Vec::new() };
+        let is_other_run = |(task, at): &(Task, WorkerIndex)| {
+            let assignment = self.worker(*at).assignments.get(task);
+            !gang || assignment.is_some_and(|h| h.run != run)
+        };
+        (0..)
+            .zip(&step.tasks)
+            .filter(|(i, _)| gang || *i == task.index)
+            .filter_map(|(i, t)| Some((task.step.task(i), t.assigned_to?)))
+            .filter(is_other_run)
+            .map(|(task, _)| task)
+            .collect()
+    }
+
     /// Marks the task as done, or all tasks of its gang.
-    fn handle_done(&mut self, task: Task, gang: bool, out: &mut Vec<Action>) -> (JobId, u64) {
+    fn handle_done(
+        &mut self,
+        task: Task,
+        run: u32,
+        gang: bool,
+        out: &mut Vec<Action>,
+    ) -> (JobId, u64) {
         let r = task.step;
         let already_done = self.step(r).is_some_and(|s| s.tasks[task.index as usize].done);
         if already_done {
             return (r.job, self.jobs.get(&r.job).map_or(0, |j| j.version));
         }
-        let mut replaced = Vec::new();
+        let replaced = self.replacements(task, run, gang);
         if let Some(step) = self.step_mut(r) {
             let all = 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
             let ended = if gang { all } else { task.index..task.index + 1 };
@@ -156,13 +179,9 @@
                     t.done = true;
                     step.remaining -= 1;
                 }
-                if t.assigned_to.is_some() && !gang {
-                    replaced.push(r.task(i));
-                }
             }
         }
         self.counts.done += 1;
-        // Stops a run that replaced this one after it was considered lost.
         for t in replaced {
             self.stop_task(t, out);
         }
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -2,6 +2,7 @@
 
 use crate::fixture::{FIRST_INCARNATION, Fixture, entry, first_task};
 use crate::owner::step;
+use catkin_cell::job::Step;
 use catkin_cell::worker::{Reply, WorkerReport};
 use catkin_cell::{Action, Start, Task};
 use std::time::Duration;
@@ -120,3 +121,43 @@
     assert_eq!(f.cell.counts().lost, 1, "{:?}", f.cell.explain(1));
     assert!(f.take_starts().is_empty());
 }
+
+#[test]
+fn room_reserved_for_a_gang_whose_earlier_run_ended_kept_for_ever() {
+    let mut f = Fixture::new(2);
+    f.accept(1, "batch", vec![Step { gang: true, ..step(2, 3_000, 1_000) }]);
+    f.tick();
+    let starts = f.take_starts();
+    assert_eq!(starts.len(), 2);
+    f.reply(&starts, Reply::Done);
+    // Neither worker lists its member, so the gang is lost and gets room again. The next run isn't durable yet.
+    f.tick();
+    f.report(0, FIRST_INCARNATION, &[]);
+    f.report(1, FIRST_INCARNATION, &[]);
+    f.cell.tick(f.now, &mut f.out);
+    assert_eq!(f.cell.summary(f.now).steps_reserved, 1);
+    f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
+    f.run(Duration::from_secs(5));
+    let summary = f.cell.summary(f.now);
+    assert_eq!((summary.jobs, summary.tasks_held, summary.cpu_used_milli), (0, 0, 0));
+}
+
+#[test]
+fn members_started_again_after_the_gang_was_done_run_on() {
+    let mut f = Fixture::new(2);
+    f.accept(1, "batch", vec![Step { gang: true, ..step(2, 3_000, 1_000) }]);
+    f.tick();
+    let first = f.take_starts();
+    f.reply(&first, Reply::Done);
+    f.tick();
+    f.report(0, FIRST_INCARNATION, &[]);
+    f.report(1, FIRST_INCARNATION, &[]);
+    f.tick();
+    let second = f.take_starts();
+    assert_eq!(second.len(), 2);
+    f.reply(&second, Reply::Done);
+    f.report_ends(0, FIRST_INCARNATION, &[], &[(first[0].task, first[0].run)]);
+    let mut stopped: Vec<Task> = f.take_stops().iter().map(|s| s.task).collect();
+    stopped.sort_unstable();
+    assert_eq!(stopped, vec![first_task(1), first_task(1).step.task(1)]);
+}
