cell: a gang is no longer offered again and again to a worker that declines its starts

What callers would see: an accepted gang that never runs although capacity is free. One worker declines starts (400, 429, 503 or no room), so it stays empty, and a gang is packed onto the workers with the most room first. It got no new tasks for 500 ms after a decline. The other members of the gang take up to 900 ms to stop, so the worker was first choice again at each attempt.

The pause now doubles, up to 4 s, each time the worker declines a start again after a pause, and begins anew once it has carried one out. A test with stops of 900 ms holds the gang for three or four attempts; a single decline is paused as before.

--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -51,7 +51,8 @@
     pub ticket_margin: Duration,
     /// Upper bound on the steps with a pending request to the adviser.
     pub max_pending_advice: usize,
-    /// How long a worker that declined a start gets no new tasks.
+    /// How long a worker that declined a start gets no new tasks, the first time. It is longer if the worker declines
+    /// the next start too.
     pub decline_pause: Duration,
     /// How long a worker may be missing from the list of workers before it gets no new tasks.
     pub missing_grace: Duration,
--- a/crates/catkin-cell/src/cell/orders.rs
+++ b/crates/catkin-cell/src/cell/orders.rs
@@ -26,7 +26,10 @@
             return;
         }
         match reply {
-            Reply::Done => self.mark_running(s.worker, s.task, now),
+            Reply::Done => {
+                self.worker_mut(s.worker).pauses = 0;
+                self.mark_running(s.worker, s.task, now);
+            }
             Reply::Unknown => {
                 self.mark_unknown(s.worker, s.task, now);
                 out.push(Action::Poll(s.worker));
@@ -45,7 +48,7 @@
             }
             Reply::Full | Reply::NotRun => {
                 let pause = self.opt.decline_pause;
-                self.worker_mut(s.worker).paused_until = now + pause;
+                self.worker_mut(s.worker).pause(pause, now);
                 self.handle_declined(s.worker, s.task, out);
             }
             Reply::Old | Reply::Fenced => self.handle_declined(s.worker, s.task, out),
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -222,6 +222,8 @@
     pub missed_polls: u32,
     /// The worker declined a start and gets no new tasks until this time.
     pub paused_until: Duration,
+    /// How often the worker was paused since it last carried out a start.
+    pub pauses: u32,
 }
 
 /// A value of `since` so early that the next order to stop is due at once. Zero stands for an order that was just
@@ -229,6 +231,8 @@
 const RESEND_NOW: Duration = Duration::from_nanos(1);
 /// A worker's clock may be slow by at most this many thousandths.
 const MAX_CLOCK_LAG_PER_MILLE: u32 = 20;
+/// A pause is at most two to the power of this many times the shortest one.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
 
 impl Worker {
     pub(crate) fn free(&self) -> Resources {
@@ -263,6 +267,16 @@
         Some(assignment)
     }
 
+    /// Keeps new tasks from the worker, for twice as long each time it declines one again after a pause. A gang that was
+    /// declined can only try other workers while the pause lasts longer than its members take to stop.
+    pub(crate) fn pause(&mut self, shortest: Duration, now: Duration) {
+        if now < self.paused_until {
+            return;
+        }
+        self.paused_until = now + shortest * 2_u32.pow(self.pauses.min(MAX_PAUSE_DOUBLINGS));
+        self.pauses += 1;
+    }
+
     /// Applies the worker's entry in the list of workers.
     pub(crate) fn update_info(&mut self, info: WorkerInfo) {
         self.host.id.clone_from(&info.id);
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -5,6 +5,7 @@
 use catkin_cell::job::Step;
 use catkin_cell::worker::{Reply, WorkerReport};
 use catkin_cell::{Action, Start, Task};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 #[test]
@@ -24,6 +25,9 @@
 /// The time within which a task has to be started again once nothing of it can run any more.
 const RESTART_BOUND: Duration = Duration::from_secs(14);
 
+/// How long a worker takes to stop a task.
+const STOP_TIME: Duration = Duration::from_millis(900);
+
 /// Returns a cell in which the start of a job's only task got no answer, and the number of the worker that got it.
 fn with_unanswered_start() -> (Fixture, usize) {
     let mut f = Fixture::new(2);
@@ -161,3 +165,42 @@
     stopped.sort_unstable();
     assert_eq!(stopped, vec![first_task(1), first_task(1).step.task(1)]);
 }
+
+#[test]
+fn gang_offered_again_and_again_to_a_worker_that_declines() {
+    let mut f = Fixture::new(4);
+    f.accept(1, "batch", vec![Step { gang: true, ..step(3, 3_000, 1_000) }]);
+    let end = f.now + RESTART_BOUND;
+    // The members on workers: where they run, with which run number, and when they have stopped.
+    let mut members: BTreeMap<Task, (usize, u32, Duration)> = BTreeMap::new();
+    let runs = |members: &BTreeMap<Task, (usize, u32, Duration)>| {
+        members.values().filter(|(.., until)| *until == Duration::MAX).count()
+    };
+    while f.now < end && runs(&members) < 3 {
+        f.tick();
+        let now = f.now;
+        for action in std::mem::take(&mut f.out) {
+            match action {
+                // The first worker declines every start. All others carry out their orders.
+                Action::Start(s) if s.worker.index() == 0 => f.reply(&[s], Reply::NotRun),
+                Action::Start(s) => {
+                    members.insert(s.task, (s.worker.index(), s.run, Duration::MAX));
+                    f.reply(&[s], Reply::Done);
+                }
+                Action::Stop(s) => {
+                    let member = members.get_mut(&s.task).expect("the task runs");
+                    member.2 = member.2.min(now + STOP_TIME);
+                    f.cell.handle_stop_reply(&s, Reply::Done, now, &mut f.out);
+                }
+                _ => {}
+            }
+        }
+        members.retain(|_, (.., until)| *until > now);
+        for n in 0..4 {
+            let here = members.iter().filter(|(_, (at, ..))| *at == n);
+            let here: Vec<_> = here.map(|(task, (_, run, _))| (*task, *run)).collect();
+            f.report(n, FIRST_INCARNATION, &here);
+        }
+    }
+    assert_eq!(runs(&members), 3, "{:?}", f.cell.explain(1));
+}
