cell: a task whose order to stop is refused for ever is started again

What callers would see: an accepted job with nothing running until the next takeover. A start gets no answer, the worker doesn't list the task, and it refuses the order to stop (429 or 503) each time. It answers its polls, so no lease runs out. Only an answer to the order to stop released the task. A start whose answer never reaches the cell had no way out either.

A worker refuses a start after the last time that the order names, on its own clock. A task that is not listed by a report from after that time neither runs nor will, whether its start got no answer or it is to be stopped. This held for unanswered starts already and now holds for those being started and stopped too. It doesn't hold if the worker restarted since, because the time is one of another clock: such a task still waits for the answer to its order to stop, or for the waiting period for stray calls.

Seen failing before: liveness::stop_that_the_worker_refuses_keeps_the_task_from_starting_again, 'assignment Some((Stopping, 1, 14.9s))' after 14 s.

--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -300,7 +300,7 @@
             demand: demand.unwrap_or(w.host.capacity),
             phase: if wanted { Phase::Running } else { Phase::Stopping },
             since: now,
-            start_by_ms: 0,
+            start_by_ms: w.clock_reading.map_or(0, |(clock, _)| clock),
             reported: true,
             stop_acked_at: None,
             expected_end: now,
@@ -337,9 +337,15 @@
             if listed.contains(&(*task, assignment.run)) {
                 continue;
             }
+            // A run that is not there after the last time at which it could start will never be.
+            let never_starts = report.clock_ms > assignment.start_by_ms;
             match assignment.phase {
                 Phase::Running if assignment.since < sent => lost_tasks.push(*task),
-                Phase::Reserved | Phase::Starting | Phase::Running => {}
+                Phase::Reserved | Phase::Running => {}
+                Phase::Starting | Phase::Unknown | Phase::Stopping if never_starts => {
+                    lost_tasks.push(*task);
+                }
+                Phase::Starting => {}
                 Phase::Stopping => {
                     if assignment.stop_acked_at.is_some_and(|at| at < sent) {
                         lost_tasks.push(*task);
@@ -349,14 +355,10 @@
                     if assignment.since >= sent {
                         continue;
                     }
-                    if report.clock_ms > assignment.start_by_ms {
-                        lost_tasks.push(*task);
-                    } else {
-                        assignment.phase = Phase::Stopping;
-                        assignment.since = sent;
-                        let run = assignment.run;
-                        out.push(Action::Stop(Stop { worker: idx, incarnation, task: *task, run }));
-                    }
+                    assignment.phase = Phase::Stopping;
+                    assignment.since = sent;
+                    let run = assignment.run;
+                    out.push(Action::Stop(Stop { worker: idx, incarnation, task: *task, run }));
                 }
             }
         }
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -133,7 +133,8 @@
     pub phase: Phase,
     /// When the phase began, or when its last order was sent.
     pub since: Duration,
-    /// The worker may still carry out an unanswered order to start until this time, on its clock.
+    /// The worker may still carry out an unanswered order to start until this time, on its clock; the largest value if
+    /// the order may have reached a later incarnation, whose clock is another.
     pub start_by_ms: u64,
     /// Whether the worker has listed the task.
     pub reported: bool,
@@ -313,6 +314,7 @@
         }
         for assignment in self.assignments.values_mut() {
             assignment.stop_acked_at = None;
+            assignment.start_by_ms = u64::MAX;
             if assignment.phase != Phase::Stopping {
                 assignment.phase = Phase::Stopping;
                 assignment.since = RESEND_NOW;
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -166,6 +166,33 @@
     assert_eq!(stopped, vec![first_task(1), first_task(1).step.task(1)]);
 }
 
+#[test]
+fn stop_that_the_worker_refuses_keeps_the_task_from_starting_again() {
+    let (mut f, n) = with_unanswered_start();
+    let idx = f.worker(n);
+    f.tick();
+    let end = f.now + RESTART_BOUND;
+    let mut started = false;
+    while f.now < end && !started {
+        for n in 0..2 {
+            f.report(n, FIRST_INCARNATION, &[]);
+        }
+        f.tick();
+        for action in std::mem::take(&mut f.out) {
+            match action {
+                Action::Start(_) => started = true,
+                Action::Stop(s) => {
+                    let now = f.now;
+                    assert_eq!(s.worker, idx);
+                    f.cell.handle_stop_reply(&s, Reply::NotRun, now, &mut f.out);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(started, "{:?}", f.cell.explain(1));
+}
+
 #[test]
 fn gang_offered_again_and_again_to_a_worker_that_declines() {
     let mut f = Fixture::new(4);
