cell: a large task of a queue that is not urgent can always have an empty worker

What callers would see: an accepted job that never runs although workers are empty. A task of a queue that is not urgent leaves as much room free on its worker as recent urgent jobs needed. If the two together are larger than every worker, it never starts, and the size of urgent tasks is an average that doesn't fall while no urgent job comes.

The room that is left free is now at most what the task leaves on an empty worker.

Seen failing before: liveness::large_task_kept_from_empty_workers_by_the_room_for_urgent_ones, a task of 3,500 after urgent ones of 2,000 on four empty workers of 4,000; not started after 14 s.

--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -176,8 +176,10 @@
         let candidate = |idx: WorkerIndex| {
             let max_tasks = cap.saturating_sub(assigned.get(&idx).copied().unwrap_or(0));
             let kept_for_gangs = pass.gang_room.get(&idx).copied().unwrap_or_default();
-            let free =
-                self.worker(idx).free().saturating_sub(&headroom).saturating_sub(&kept_for_gangs);
+            let w = self.worker(idx);
+            // A task may always have an empty worker, whatever the room for urgent tasks.
+            let headroom = headroom.min(&w.host.capacity.saturating_sub(&demand));
+            let free = w.free().saturating_sub(&headroom).saturating_sub(&kept_for_gangs);
             (max_tasks > 0 && demand.fits(&free)).then_some(Candidate { idx, free, max_tasks })
         };
         match (&step.tickets, advice_required) {
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -231,3 +231,17 @@
     }
     assert_eq!(runs(&members), 3, "{:?}", f.cell.explain(1));
 }
+
+#[test]
+fn large_task_kept_from_empty_workers_by_the_room_for_urgent_ones() {
+    let mut f = Fixture::new(4);
+    f.accept(1, "urgent", vec![step(1, 2_000, 100)]);
+    for id in 2..60 {
+        f.accept(id, "urgent", vec![step(1, 2_000, 100)]);
+        f.cell.cancel(id, &mut f.out);
+    }
+    f.cell.cancel(1, &mut f.out);
+    f.accept(100, "batch", vec![step(1, 3_500, 1_000)]);
+    f.run(RESTART_BOUND);
+    assert!(f.take_starts().iter().any(|s| s.task.step.job == 100), "{:?}", f.cell.explain(100));
+}
