--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -34,10 +34,12 @@
     ) {
         let w = self.worker_mut(idx);
         if report.incarnation != 0 && report.incarnation != w.info.incarnation {
-            if w.info.incarnation > report.incarnation {
+            // Only a later incarnation can answer a poll that was sent after the known one was learned of. Its number may
+            // be lower, since wall clocks can go back.
+            if sent < w.incarnation_known_at {
                 return;
             }
-            self.restart_worker(idx, report.incarnation);
+            self.restart_worker(idx, report.incarnation, now);
         }
         let w = self.worker_mut(idx);
         // Answers that arrive over different connections may be out of order: ignores the older one.
@@ -117,7 +119,7 @@
         match end.reason {
             EndReason::Done if !step_def.long_running => {
                 self.update_health(idx, task, true, now);
-                Some(self.handle_done(task, step_def.gang, out))
+                Some(self.handle_done(task, end.run, step_def.gang, out))
             }
             EndReason::Failed if !step_def.long_running => {
                 self.update_health(idx, task, false, now);
@@ -137,14 +139,37 @@
         fleet.record_end(&workers[idx.index()].info.id, task.step.job, success, now);
     }
 
+    /// Returns the tasks on workers that the end of a run makes superfluous: runs that replaced it after it was
+    /// considered lost. The other members of the same run of a gang end by themselves.
+    fn replacements(&self, task: Task, run: u32, gang: bool) -> Vec<Task> {
+        let Some(step) = self.step(task.step) else { return Vec::new() };
+        let is_other_run = |(task, at): &(Task, WorkerIndex)| {
+            let assignment = self.worker(*at).assignments.get(task);
+            !gang || assignment.is_some_and(|h| h.run != run)
+        };
+        (0..)
+            .zip(&step.tasks)
+            .filter(|(i, _)| gang || *i == task.index)
+            .filter_map(|(i, t)| Some((task.step.task(i), t.assigned_to?)))
+            .filter(is_other_run)
+            .map(|(task, _)| task)
+            .collect()
+    }
+
     /// Marks the task as done, or all tasks of its gang.
-    fn handle_done(&mut self, task: Task, gang: bool, out: &mut Vec<Action>) -> (JobId, u64) {
+    fn handle_done(
+        &mut self,
+        task: Task,
+        run: u32,
+        gang: bool,
+        out: &mut Vec<Action>,
+    ) -> (JobId, u64) {
         let r = task.step;
         let already_done = self.step(r).is_some_and(|s| s.tasks[task.index as usize].done);
         if already_done {
             return (r.job, self.jobs.get(&r.job).map_or(0, |j| j.version));
         }
-        let mut replaced = Vec::new();
+        let replaced = self.replacements(task, run, gang);
         if let Some(step) = self.step_mut(r) {
             let all = 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
             let ended = if gang { all } else { task.index..task.index + 1 };
@@ -154,13 +179,9 @@
                     t.done = true;
                     step.remaining -= 1;
                 }
-                if t.assigned_to.is_some() && !gang {
-                    replaced.push(r.task(i));
-                }
             }
         }
         self.counts.done += 1;
-        // Stops a run that replaced this one after it was considered lost.
         for t in replaced {
             self.stop_task(t, out);
         }
@@ -279,7 +300,7 @@
             demand: demand.unwrap_or(w.host.capacity),
             phase: if wanted { Phase::Running } else { Phase::Stopping },
             since: now,
-            start_by_ms: 0,
+            start_by_ms: w.clock_reading.map_or(0, |(clock, _)| clock),
             reported: true,
             stop_acked_at: None,
             expected_end: now,
@@ -316,9 +337,15 @@
             if listed.contains(&(*task, assignment.run)) {
                 continue;
             }
+            // A run that is not there after the last time at which it could start will never be.
+            let never_starts = report.clock_ms > assignment.start_by_ms;
             match assignment.phase {
                 Phase::Running if assignment.since < sent => lost_tasks.push(*task),
-                Phase::Reserved | Phase::Starting | Phase::Running => {}
+                Phase::Reserved | Phase::Running => {}
+                Phase::Starting | Phase::Unknown | Phase::Stopping if never_starts => {
+                    lost_tasks.push(*task);
+                }
+                Phase::Starting => {}
                 Phase::Stopping => {
                     if assignment.stop_acked_at.is_some_and(|at| at < sent) {
                         lost_tasks.push(*task);
@@ -328,14 +355,10 @@
                     if assignment.since >= sent {
                         continue;
                     }
-                    if report.clock_ms > assignment.start_by_ms {
-                        lost_tasks.push(*task);
-                    } else {
-                        assignment.phase = Phase::Stopping;
-                        assignment.since = sent;
-                        let run = assignment.run;
-                        out.push(Action::Stop(Stop { worker: idx, incarnation, task: *task, run }));
-                    }
+                    assignment.phase = Phase::Stopping;
+                    assignment.since = sent;
+                    let run = assignment.run;
+                    out.push(Action::Stop(Stop { worker: idx, incarnation, task: *task, run }));
                 }
             }
         }
