Takeover: a step whose runs have all ended names no worker for later owners to wait for

Cause: a new owner holds a step until each worker in the step's progress row (`on`) has answered, or the earlier owner's autonomy and a lease are over. The row kept its workers after the last run of the step was lost, declined or had failed: they were only replaced at the next start. So every later owner waited for workers that had left long before, also one whose predecessor had waited for the same workers already.

Now `settle_steps` removes the workers of a waiting step, in memory and with a new version of the row, once none of its tasks is assigned and the workers of earlier owners are settled. It runs before placement in the same pass: a step that starts again at once still costs one write.

Why an unassigned task is proof that it runs nowhere: it is the proof on which this owner itself starts the task on another worker. An assignment ends with the worker's own word (an end, a poll sent after the answer that does not list the run, a start that was refused), with a restart of the worker for a run that it had listed, or with the lease of an unreachable worker, by its slowest possible clock. A lost answer keeps the assignment (Unknown, then Stopping) until the run is stopped and not listed, or too late to start. Runs of earlier owners are covered by `unsettled`, which has to be empty.

Why starts stay recorded before they are sent: `record_intent` compares with the list in memory, which is cleared together with the row; a later reservation on the same worker finds it missing and waits for a version newer than the clearing one. Reserved tasks are assigned, so their record is never cleared. Rows of earlier owners can't come back: their writes are fenced by the part's head before the row is read.

--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod polls;
 mod rank;
 mod save;
+mod settle;
 mod workers;
 
 pub use advice::AdviceAnswer;
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -54,6 +54,7 @@
         order.sort_unstable();
         let pending = self.waiting_steps.iter().filter(|r| self.is_advice_pending(**r)).count();
         let advice_budget = self.opt.max_pending_advice.saturating_sub(pending);
+        self.settle_steps(now);
         let mut pass = Pass { advice_budget, ..Pass::default() };
         for (_, r) in order {
             self.schedule_step(r, &mut pass, now, out);
@@ -66,7 +67,7 @@
     }
 
     fn schedule_step(&mut self, r: StepRef, pass: &mut Pass, now: Duration, out: &mut Vec<Action>) {
-        if !self.settle(r, now) {
+        if !self.is_settled(r) {
             return;
         }
         let Some(j) = self.jobs.get(&r.job) else { return };
@@ -112,17 +113,6 @@
         self.step(r).is_some_and(|s| s.advice_pending_since.is_some())
     }
 
-    /// Returns whether no task of the step can run unknown to this owner. A worker that an earlier owner may have used
-    /// is settled once it answered in this term, or once that owner's autonomy and its last lease have run out.
-    fn settle(&mut self, r: StepRef, now: Duration) -> bool {
-        let wait = self.opt.autonomy + self.opt.lease + self.opt.lease / 10;
-        let wait_over = now.saturating_sub(self.term_start) > wait;
-        let Self { jobs, settled_workers, .. } = self;
-        let Some(step) = jobs.get_mut(&r.job).and_then(|j| j.step_mut(r)) else { return false };
-        step.unsettled.retain(|w| !wait_over && !settled_workers.contains(w));
-        step.unsettled.is_empty()
-    }
-
     pub(super) fn needs_advice(&self, r: StepRef) -> bool {
         let q = self.jobs.get(&r.job).and_then(|j| self.queues.get(&j.job.queue));
         q.is_some_and(|q| q.advice.is_some())
@@ -303,10 +293,6 @@
     /// Reserves the room of a plan.
     fn reserve(&mut self, r: StepRef, step_def: &Step, plan: Plan, now: Duration) {
         let expected = Duration::from_millis(step_def.estimate_ms);
-        if let Some(step) = self.step_mut(r).filter(|s| !s.any_assigned()) {
-            // No task of the step is on a worker: the workers of earlier starts no longer have to be recorded.
-            step.start_workers.clear();
-        }
         for (i, idx) in plan {
             let task = r.task(i);
             let Some(step) = self.step_mut(r) else { return };
--- /dev/null
+++ b/crates/catkin-cell/src/cell/settle.rs
@@ -0,0 +1,33 @@
+//! Tasks that may run unknown to this owner, because an earlier owner started them.
+
+use super::Cell;
+use crate::task::StepRef;
+use std::time::Duration;
+
+impl Cell {
+    /// Settles the waiting steps of which no task can run unknown to this owner. If no task is assigned either, nothing
+    /// of the step runs, and its recorded workers are removed: later owners need not wait for them.
+    pub(super) fn settle_steps(&mut self, now: Duration) {
+        let wait = self.opt.autonomy + self.opt.lease + self.opt.lease / 10;
+        let wait_over = now.saturating_sub(self.term_start) > wait;
+        let steps: Vec<StepRef> = self.waiting_steps.iter().copied().collect();
+        for r in steps {
+            let Self { jobs, settled_workers, .. } = self;
+            let Some(step) = jobs.get_mut(&r.job).and_then(|j| j.step_mut(r)) else { continue };
+            if step.start_workers.is_empty() {
+                continue;
+            }
+            step.unsettled.retain(|w| !wait_over && !settled_workers.contains(w));
+            if step.unsettled.is_empty() && !step.any_assigned() {
+                step.start_workers.clear();
+                self.mark_dirty(r.job);
+            }
+        }
+    }
+
+    /// Returns whether no task of the step can run unknown to this owner. A worker that an earlier owner may have used
+    /// is settled once it answered in this term, or once that owner's autonomy and its last lease have run out.
+    pub(super) fn is_settled(&self, r: StepRef) -> bool {
+        self.step(r).is_some_and(|s| s.unsettled.is_empty())
+    }
+}
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -3,5 +3,6 @@
 mod advice;
 mod faults;
 mod owner;
+mod takeover;
 mod worker;
 mod world;
