Cell: the worker of an adopted run is recorded for later owners

A new owner holds a step only for the workers that its progress row names. A run that an owner adopts from a worker's report was not added to the row: if the row no longer named the worker, and the worker could not be reached after the next takeover, the owner after that would have started the task a second time. The row lacks the worker when it was replaced or removed while an earlier owner, cut off from the table, could still start there (a worker that restarted between the two, and so has not seen the newer term).

`adopt` now records run and worker as a start does. A run whose worker is named already, which is the usual takeover, costs no write.

The test fails without the change: `take_writes` returns `[]`.

--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -12,7 +12,7 @@
 impl Cell {
     /// Marks it to be written that the step may run on `workers` with runs up to `run`. Returns whether that is durable
     /// already.
-    fn record_intent(&mut self, r: StepRef, run: u32, workers: &[WorkerIndex]) -> bool {
+    pub(super) fn record_intent(&mut self, r: StepRef, run: u32, workers: &[WorkerIndex]) -> bool {
         let Some(step) = self.step(r) else { return false };
         let missing: Vec<WorkerId> = workers
             .iter()
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -292,6 +292,7 @@
                 t.assigned_to = Some(idx);
                 t.run = t.run.max(r.run);
             }
+            self.record_intent(r.task.step, r.run, &[idx]);
             self.record_checkpoint(r);
             self.mark_started(r.task.step);
             self.update_waiting(r.task.step);
--- a/crates/catkin-cell/tests/cell/takeover.rs
+++ b/crates/catkin-cell/tests/cell/takeover.rs
@@ -2,7 +2,10 @@
 
 use crate::owner::step;
 use crate::world::World;
-use catkin_cell::job::Step;
+use catkin_cell::action::StoredJob;
+use catkin_cell::job::{Job, Step};
+use catkin_cell::worker::{RunningTask, WorkerReport};
+use catkin_cell::{Cell, Options, StepRef, Write};
 use std::time::Duration;
 
 /// How long a lost gang takes to be known as lost, with some room: its lease and the polls without an answer.
@@ -67,3 +70,21 @@
     run_for(&mut w, START_TIME);
     assert_gang_starts(&mut w);
 }
+
+#[test]
+fn worker_of_an_adopted_run_is_recorded_for_later_owners() {
+    let (now, job) =
+        (Duration::from_secs(1), Job { steps: vec![step(1, 1_000, 60_000)], ..Job::default() });
+    let mut cell = Cell::new(Options::default(), 2, now);
+    cell.add(7, StoredJob { job, ..StoredJob::default() }, Duration::ZERO, now);
+    let worker = crate::worker::Worker::new(0, catkin_types::Resources::new(4_000, 4_000, 0));
+    cell.update_workers(vec![worker.info], false, now);
+    let idx = cell.worker_indices().next().expect("the worker is listed");
+    let task = StepRef { job: 7, occurrence: 0, step: 0 }.task(0);
+    let running = vec![RunningTask { task, run: 1, ..RunningTask::default() }];
+    let report = WorkerReport { clock_ms: 50, incarnation: 1, running, ended: Vec::new() };
+    cell.handle_report(idx, now, &report, now, &mut Vec::new());
+    let writes = cell.take_writes(|_| true, 30);
+    let [Write::Progress(7, progress)] = writes.as_slice() else { panic!("{writes:?}") };
+    assert_eq!((progress.steps[0].run, progress.steps[0].on.as_slice()), (1, &["w0".into()][..]));
+}
