Takeover: an unheard worker is waited for as long as one that restarted may run a task

A task could run on two workers at a time: the owner is lost while an order to start is on its way to a worker that restarts, and the successor can't reach that worker.

A worker that restarts while the owner watches is already given that time in `expire_leases`; now a worker that a new owner has not heard gets it too. It can't depend on whether the worker has restarted: the new owner does not know the incarnation that was ordered to start.

The simulation can now make a worker unreachable for the newest owner alone. The test fails without the change: `15.85s: Task { .. index: 0 } runs on two workers, run 2`, for an owner that is lost 2 ticks after it accepted the job.

--- a/crates/catkin-cell/src/cell/settle.rs
+++ b/crates/catkin-cell/src/cell/settle.rs
@@ -4,11 +4,15 @@
 use crate::task::StepRef;
 use std::time::Duration;
 
+/// The waiting time for a lease is extended by this fraction (one part in 10): the worker's clock may be slow, and is
+/// estimated from its last answer.
+const LEASE_MARGIN_DIVISOR: u32 = 10;
+
 impl Cell {
     /// Settles the waiting steps of which no task can run unknown to this owner. If no task is assigned either, nothing
     /// of the step runs, and its recorded workers are removed: later owners need not wait for them.
     pub(super) fn settle_steps(&mut self, now: Duration) {
-        let wait = self.opt.autonomy + self.opt.lease + self.opt.lease / 10;
+        let wait = self.opt.autonomy + self.max_run_time();
         let wait_over = now.saturating_sub(self.term_start) > wait;
         let steps: Vec<StepRef> = self.waiting_steps.iter().copied().collect();
         for r in steps {
@@ -25,8 +29,13 @@
         }
     }
 
+    /// Returns how long a task can run on without a further call of its owner, at a worker that may have restarted.
+    fn max_run_time(&self) -> Duration {
+        (self.opt.lease + self.opt.lease / LEASE_MARGIN_DIVISOR).max(self.max_stray_period())
+    }
+
     /// Returns whether no task of the step can run unknown to this owner. A worker that an earlier owner may have used
-    /// is settled once it answered in this term, or once that owner's autonomy and its last lease have run out.
+    /// is settled once it answered in this term, or once that owner's autonomy and what it has started last have run out.
     pub(super) fn is_settled(&self, r: StepRef) -> bool {
         self.step(r).is_some_and(|s| s.unsettled.is_empty())
     }
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -192,17 +192,26 @@
         }
     }
 
+    /// Returns how long after it was sent a call that was meant for an earlier incarnation of a worker can keep a task
+    /// running, on the worker's clock. The clock of each incarnation begins at 0, so that such a call gives the longest
+    /// lease.
+    fn stray_period(&self) -> Duration {
+        self.opt.max_call_delay + self.opt.max_lease
+    }
+
+    /// Returns the stray period on the owner's clock, for the slowest clock of a worker.
+    pub(super) fn max_stray_period(&self) -> Duration {
+        self.stray_period() + self.stray_period() / STRAY_MARGIN_DIVISOR
+    }
+
     /// Marks the tasks of unresponsive workers as lost once their leases have run out.
     pub(super) fn expire_leases(&mut self, now: Duration) {
-        // The clock of each incarnation begins at 0. A call meant for an earlier incarnation may have given this one
-        // the longest lease.
-        let stray_period = self.opt.max_call_delay + self.opt.max_lease;
+        let stray_period = self.stray_period();
         let expired = |w: &Worker| {
             let Some(clock) = w.min_clock_ms(now) else {
                 // The worker has not answered in this incarnation.
                 let since = w.restarted_at.map(|at| now.saturating_sub(at));
-                return since
-                    .is_some_and(|d| d > stray_period + stray_period / STRAY_MARGIN_DIVISOR);
+                return since.is_some_and(|d| d > self.max_stray_period());
             };
             let lease_to = w.lease_to_ms.max(w.restarted_at.map_or(0, |_| millis(stray_period)));
             clock > lease_to + LEASE_MARGIN_MS
--- a/crates/catkin-cell/tests/cell/takeover.rs
+++ b/crates/catkin-cell/tests/cell/takeover.rs
@@ -10,6 +10,9 @@
 
 /// How long a lost gang takes to be known as lost, with some room: its lease and the polls without an answer.
 const LOSS_TIME: Duration = Duration::from_secs(5);
+/// How long an owner waits for a worker that does not answer, with some room: its predecessor's autonomy and a lease of
+/// the longest kind.
+const SETTLE_TIME: Duration = Duration::from_secs(13);
 /// How long an owner that has to wait for nothing takes to start a gang, with some room.
 const START_TIME: Duration = Duration::from_secs(1);
 
@@ -65,12 +68,37 @@
     let mut w = world_with_gang();
     disconnect_gang_member(&mut w);
     crash_owner(&mut w);
-    run_for(&mut w, 2 * LOSS_TIME);
+    run_for(&mut w, SETTLE_TIME);
     crash_owner(&mut w);
     run_for(&mut w, START_TIME);
     assert_gang_starts(&mut w);
 }
 
+/// The owner is lost some ticks after it began to start a task on the first worker, which its successor can't reach.
+/// `crash` restarts that worker before or after the takeover.
+fn assert_restarted_worker_is_waited_for(crash: impl Fn(&mut World, fn(&mut World))) {
+    for ticks in 1..=20 {
+        let mut w = World::new(17, 2, false);
+        w.take_over(None);
+        (0..1_000).for_each(|_| w.run_tick());
+        w.accept(1, vec![step(1, 3_000, 60_000)]);
+        (0..ticks).for_each(|_| w.run_tick());
+        crash(&mut w, crash_owner);
+        w.cut_off(0, Duration::from_secs(60));
+        run_for(&mut w, Duration::from_secs(30));
+        assert_eq!(w.violations, Vec::<String>::new(), "{ticks} ticks");
+        assert!(w.workers[1].running.len() == 1, "{ticks} ticks: {}", w.explain());
+    }
+}
+
+#[test]
+fn start_that_reached_a_restarted_worker_ends_before_the_task_starts_elsewhere() {
+    assert_restarted_worker_is_waited_for(|w, crash_owner| {
+        w.workers[0].crash(w.now);
+        crash_owner(w);
+    });
+}
+
 #[test]
 fn worker_of_an_adopted_run_is_recorded_for_later_owners() {
     let (now, job) =
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -47,6 +47,11 @@
     pub duration_factor: u32,
 }
 
+/// Returns the number of a worker. Workers are listed in the order of their indices.
+fn worker_number(idx: WorkerIndex) -> usize {
+    idx.to_string().parse().expect("a worker index displays as a number")
+}
+
 enum Event {
     DeliverStart(Start, Epoch, bool, Option<u64>),
     DeliverStop(Stop, Epoch, bool, Option<u64>),
@@ -74,6 +79,8 @@
     pub faults: Faults,
     pub workers: Vec<Worker>,
     partitioned_until: Vec<Duration>,
+    /// Until when a worker can't be reached by one owner, by the owner's epoch and the worker.
+    cut_off_until: HashMap<(Epoch, usize), Duration>,
     owners: Vec<Owner>,
     epoch: Epoch,
     events: BTreeMap<(Duration, u64), Event>,
@@ -126,6 +133,7 @@
             faults: Faults::default(),
             workers: (0..workers).map(|n| Worker::new(n, capacity)).collect(),
             partitioned_until: vec![Duration::ZERO; workers],
+            cut_off_until: HashMap::new(),
             owners: Vec::new(),
             epoch: 0,
             events: BTreeMap::new(),
@@ -260,6 +268,11 @@
         self.workers[n].reachable = false;
     }
 
+    /// Makes a worker unreachable for the newest owner for a time. Earlier owners still reach it.
+    pub fn cut_off(&mut self, n: usize, time: Duration) {
+        self.cut_off_until.insert((self.epoch, n), self.now + time);
+    }
+
     /// Describes the jobs that have not ended.
     pub fn explain(&self) -> String {
         let Some(owner) = self.owners.last() else { return "no owner is active".into() };
@@ -304,7 +317,7 @@
 
     fn deliver_start(&mut self, s: Start, epoch: Epoch, answered: bool) {
         let now = self.now;
-        let (n, unreachable) = self.worker_reachability(s.worker);
+        let (n, unreachable) = self.worker_reachability(s.worker, epoch);
         if unreachable {
             if answered {
                 let when = now + Duration::from_millis(600);
@@ -340,7 +353,7 @@
             Event::DeliverStop(s, _, _, receiver) if self.is_dropped(s.worker, receiver) => {}
             Event::DeliverStart(s, epoch, answered, _) => self.deliver_start(s, epoch, answered),
             Event::DeliverStop(s, epoch, answered, _) => {
-                let (n, unreachable) = self.worker_reachability(s.worker);
+                let (n, unreachable) = self.worker_reachability(s.worker, epoch);
                 if unreachable {
                     if answered {
                         let when = now + Duration::from_millis(600);
@@ -355,7 +368,7 @@
                 }
             }
             Event::DeliverPoll(idx, epoch, sent, lease, acknowledged, wait_until) => {
-                let (n, unreachable) = self.worker_reachability(idx);
+                let (n, unreachable) = self.worker_reachability(idx, epoch);
                 if unreachable {
                     let when = now + Duration::from_millis(700);
                     self.schedule_event(when, Event::PollReply(idx, epoch, sent, None));
@@ -433,10 +446,11 @@
         });
     }
 
-    fn worker_reachability(&self, idx: WorkerIndex) -> (usize, bool) {
-        // Workers are listed in the order of their indices.
-        let n: usize = idx.to_string().parse().expect("a worker index displays as a number");
-        (n, !self.workers[n].reachable || self.partitioned_until[n] > self.now)
+    /// Returns a worker, and whether the owner of the term `epoch` can't reach it.
+    fn worker_reachability(&self, idx: WorkerIndex, epoch: Epoch) -> (usize, bool) {
+        let n = worker_number(idx);
+        let cut_off = self.cut_off_until.get(&(epoch, n)).is_some_and(|at| *at > self.now);
+        (n, cut_off || !self.workers[n].reachable || self.partitioned_until[n] > self.now)
     }
 
     fn with_owner(&mut self, epoch: Epoch, f: impl FnOnce(&mut Owner, &mut Vec<Action>)) {
@@ -469,7 +483,7 @@
     fn plan_delivery(&mut self, idx: WorkerIndex) -> (Duration, bool, Option<u64>) {
         if self.chance(self.faults.order_late) {
             let late = Duration::from_millis(700 + self.random() % 5_000);
-            let (n, _) = self.worker_reachability(idx);
+            let n = worker_number(idx);
             return (self.now + late, false, Some(self.workers[n].info.incarnation));
         }
         let lost = self.chance(self.faults.answer_lost);
@@ -478,13 +492,13 @@
 
     /// Returns whether an order was received by an earlier incarnation of the worker and dropped with it.
     fn is_dropped(&self, idx: WorkerIndex, receiver: Option<u64>) -> bool {
-        let (n, _) = self.worker_reachability(idx);
+        let n = worker_number(idx);
         receiver.is_some_and(|receiver| receiver != self.workers[n].info.incarnation)
     }
 
     fn send_start(&mut self, s: Start, epoch: Epoch) {
         let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker);
+        let (_, unreachable) = self.worker_reachability(s.worker, epoch);
         if !answered || unreachable {
             let at = self.now + Duration::from_millis(600);
             self.schedule_event(at, Event::StartReply(s.clone(), epoch, Reply::Unknown));
@@ -497,7 +511,7 @@
 
     fn send_stop(&mut self, s: Stop, epoch: Epoch) {
         let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker);
+        let (_, unreachable) = self.worker_reachability(s.worker, epoch);
         if !answered || unreachable {
             let at = self.now + Duration::from_millis(600);
             self.schedule_event(at, Event::StopReply(s.clone(), epoch, Reply::Unknown));
