Takeover: a worker that is listed as restarted is settled once it answers, not before

A task could run on two workers at a time: the order to start of a lost owner reaches a worker that restarts just after the takeover. The new owner read the restart from the list of workers and took it for proof that no task of an earlier owner runs there, before it had heard the new incarnation, which may have taken that order.

Now only an answer of the new incarnation settles the worker, which shows what runs there and fences earlier owners off; without one the usual wait applies.

The test fails without the change: `12.03s: Task { .. index: 0 } runs on two workers, run 2`.

Not mended: a worker that answered this owner, restarts, and is started on by an owner that is cut off from the table and has not polled the worker since.

--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -143,13 +143,12 @@
             && self.fleet.worker_health(&w.info.id, now) != WorkerHealth::Quarantined
     }
 
-    /// Handles a restart of the worker: the tasks of its last incarnation are lost.
+    /// Handles a restart of the worker: the tasks of its last incarnation are lost. The new one may have taken an order of
+    /// an earlier owner that was meant for the last one, so the worker is not settled before it answers.
     pub(super) fn restart_worker(&mut self, idx: WorkerIndex, incarnation: Incarnation) {
         let now = self.now;
         let w = self.worker_mut(idx);
         let lost = w.begin_incarnation(incarnation, now);
-        let id = w.info.id.clone();
-        self.settled_workers.insert(id);
         for task in lost {
             self.mark_lost(task, idx);
         }
--- a/crates/catkin-cell/tests/cell/takeover.rs
+++ b/crates/catkin-cell/tests/cell/takeover.rs
@@ -99,6 +99,14 @@
     });
 }
 
+#[test]
+fn worker_that_is_listed_as_restarted_is_not_settled_before_it_answers() {
+    assert_restarted_worker_is_waited_for(|w, crash_owner| {
+        crash_owner(w);
+        w.workers[0].crash(w.now);
+    });
+}
+
 #[test]
 fn worker_of_an_adopted_run_is_recorded_for_later_owners() {
     let (now, job) =
