Leadership: an owner acts for its autonomy from the sending of its last renewal, and releases the cell after its last act

A new owner relies on its predecessor acting for 10 s (`AUTONOMY_LIMIT`) at most, and the next commit also on one that released the cell acting no more. Neither was true. The autonomy counted from the arrival of an answer, also of one that confirms an earlier attempt, and of the reads after a takeover, all of which can be seconds later than the last change of the row that a successor reads. A process that was suspended handled its queued messages, and so sent polls and orders, before its renewal loop noticed the time. And the cell was released while the owner still ran: its successor could begin while the answer to that write was on its way.

Callers would see a task that runs twice: a worker that the successor can't reach runs on under a lease, or takes an order, of an owner that the successor takes for over.

Now `Term::renewed_at` is the time at which the last write of the owner row that is known to have taken effect was sent. A successor's claim is conditional on that write or a later one, so it is sent later than this time. The owner actor drops each message after the end of the autonomy. It is stopped before the row is released. Heartbeats report ownership by `confirmed_at` as before. Renewals move to a module of their own, as the module of the election grows.

A claim that took effect by an earlier attempt is not used: the row is read again and claimed in another term.

The rule of the term has a test (it did not exist before, so it can't fail on the old code); the order of stop and release is only read.

--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -1,5 +1,6 @@
 //! The context that all parts of a daemon share.
 
+use crate::leadership::term::Term;
 use crate::metrics::Metrics;
 use crate::owner::Owner;
 use crate::settings::Settings;
@@ -36,17 +37,6 @@
     pub addr: SocketAddr,
 }
 
-/// The term of this daemon as the owner of the cell.
-#[derive(Clone, Copy, Debug)]
-pub struct Term {
-    /// The number of the term.
-    pub epoch: Epoch,
-    /// When the owner row was last written.
-    pub confirmed_at: Duration,
-    /// The number of renewals that failed at once, in a row.
-    pub fast_failures: u32,
-}
-
 /// The context of a daemon.
 #[derive(Debug)]
 pub struct Cx {
--- a/crates/catkin-node/src/leadership/mod.rs
+++ b/crates/catkin-node/src/leadership/mod.rs
@@ -6,10 +6,12 @@
 
 pub mod candidate;
 pub mod load;
+pub mod renewal;
 mod row;
+pub mod term;
 pub mod watch;
 
-use crate::cx::{Cx, Leader, Term};
+use crate::cx::{Cx, Leader};
 use crate::owner::{self, Owner};
 use crate::table::OwnerRecord;
 use candidate::Candidate;
@@ -17,16 +19,14 @@
 use catkin_schema::peer::{Heartbeat, Request, Response};
 use catkin_types::Epoch;
 use rand::RngExt;
+use renewal::{Renewed, confirm_term, keep_renewed, renew, renew_interval};
 use row::{OwnerRow, RowWrite, TABLE_TIMEOUT};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use term::Term;
 use watch::{OwnerHealth, OwnerWatch, RowView, Vacancy};
 
-/// The interval at which the owner renews its row.
-pub const RENEW_INTERVAL: Duration = Duration::from_millis(250);
-/// The delay before a renewal that failed is repeated.
-const RENEW_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The interval between heartbeats to the owner.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// The timeout of a heartbeat.
@@ -41,10 +41,6 @@
 const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(700);
 /// After this many renewals in a row that failed at once, an owner no longer reports itself as the owner.
 const MAX_FAST_FAILURES: u32 = 2;
-/// A renewal that failed within this time was rejected or its connection was reset.
-const FAST_FAILURE: Duration = Duration::from_millis(200);
-/// How long an owner continues without an answer of the table service.
-pub const AUTONOMY_LIMIT: Duration = Duration::from_secs(10);
 
 /// Monitors the owner of the cell and takes over when there is none, until the daemon stops.
 pub async fn run(cx: Arc<Cx>) {
@@ -189,6 +185,7 @@
         tokio::time::sleep(REREAD_DELAY).await;
         return previous;
     }
+    let sent = cx.now();
     let claimed = OwnerRecord {
         epoch: previous.record.epoch + 1,
         daemon: cx.cfg.daemon.id.clone(),
@@ -199,7 +196,8 @@
     };
     let current = match row::write(cx, &claimed, previous.version, TABLE_TIMEOUT).await {
         RowWrite::Applied(version) => OwnerRow { record: claimed, version },
-        RowWrite::Superseded(other) => return other,
+        // A claim that took effect earlier than this attempt is not used: it is not known when.
+        RowWrite::AppliedEarlier(other) | RowWrite::Superseded(other) => return other,
         RowWrite::NotConfirmed => return previous,
     };
     tracing::info!(
@@ -210,7 +208,7 @@
     );
     cx.metrics.count_takeover();
     let epoch = current.record.epoch;
-    cx.term.send_replace(Some(Term { epoch, confirmed_at: cx.now(), fast_failures: 0 }));
+    cx.term.send_replace(Some(Term::new(epoch, sent, cx.now())));
     publish_leader(cx, &current.record);
     let current = run_as_owner(cx, current).await;
     cx.term.send_replace(None);
@@ -270,112 +268,71 @@
         }
     };
     confirm_term(cx);
+    if !may_act(cx) {
+        tracing::warn!(epoch, "lead: giving up the cell, reading its jobs took too long");
+        return row::release(cx, current).await;
+    }
     let owner = Owner::start(Arc::clone(cx), epoch, loaded).await;
     cx.owner.send_replace(Some(owner.clone()));
     cx.set_owner_healthy(true);
     announce(cx, &owner, &current.record);
+    let next = serve(cx, &owner, &mut current).await;
+    cx.owner.send_replace(None);
+    owner::stop(owner).await;
+    // A released cell is taken over at once, by a daemon that takes the release for proof that this one acts no more.
+    let last = match next {
+        Next::Release => row::release(cx, current).await,
+        Next::Owner(row) => row,
+    };
+    tracing::info!(epoch, next = last.record.epoch, "lead: no longer the owner");
+    last
+}
+
+/// What follows a term.
+enum Next {
+    /// The cell is to be released.
+    Release,
+    /// The cell is not released; its row is this one, as far as it is known.
+    Owner(OwnerRow),
+}
+
+/// Renews the row of a running owner until its term ends.
+async fn serve(cx: &Cx, owner: &Owner, current: &mut OwnerRow) -> Next {
+    let epoch = current.record.epoch;
     let started = cx.now();
     let mut failed = false;
-    let last = loop {
+    loop {
         tokio::select! {
             () = tokio::time::sleep(renew_interval(failed)) => {}
             () = cx.drain.cancelled() => {}
             () = owner.superseded() => {
                 tracing::info!(epoch, "lead: an owner of a later term exists");
-                break OwnerRow::default();
+                return Next::Owner(OwnerRow::default());
             }
         }
         if cx.is_draining() {
-            break row::release(cx, current).await;
+            return Next::Release;
         }
         let better = cx.better_owner_seen.swap(false, Ordering::Relaxed);
         if better && cx.now().saturating_sub(started) > MIN_TERM {
             tracing::info!(epoch, "lead: releasing the cell for a better owner");
-            break row::release(cx, current).await;
+            return Next::Release;
         }
         current.record.peers = cx.recent_peers();
-        match renew(cx, &mut current).await {
+        match renew(cx, current).await {
             Renewed::Applied => failed = false,
-            Renewed::Superseded(other) => break other,
+            Renewed::Superseded(other) => return Next::Owner(other),
             Renewed::NotConfirmed => failed = true,
         }
-        let confirmed_at = cx.term.borrow().map_or(Duration::ZERO, |t| t.confirmed_at);
-        if cx.now().saturating_sub(confirmed_at) > AUTONOMY_LIMIT {
+        if !may_act(cx) {
             tracing::warn!(epoch, "lead: giving up the cell, the table service does not answer");
-            break current;
-        }
-    };
-    cx.owner.send_replace(None);
-    owner::stop(owner).await;
-    tracing::info!(epoch, next = last.record.epoch, "lead: no longer the owner");
-    last
-}
-
-/// Renews the row until an owner of a later term exists. Returns that owner's row.
-async fn keep_renewed(cx: &Cx, current: &mut OwnerRow) -> OwnerRow {
-    let mut failed = false;
-    loop {
-        tokio::time::sleep(renew_interval(failed)).await;
-        match renew(cx, current).await {
-            Renewed::Applied => failed = false,
-            Renewed::NotConfirmed => failed = true,
-            Renewed::Superseded(newer) => return newer,
+            return Next::Owner(current.clone());
         }
     }
 }
 
-/// Returns the time until the next renewal.
-fn renew_interval(failed: bool) -> Duration {
-    if failed { RENEW_RETRY_DELAY } else { RENEW_INTERVAL }
-}
-
-/// Records that the table service carries out the writes of this term.
-fn confirm_term(cx: &Cx) {
-    let now = cx.now();
-    cx.term.send_if_modified(|term| {
-        if let Some(term) = term {
-            (term.confirmed_at, term.fast_failures) = (now, 0);
-        }
-        false
-    });
-}
-
-/// Records that a renewal was rejected, or that its connection was reset.
-fn record_fast_failure(cx: &Cx) {
-    cx.term.send_if_modified(|term| {
-        if let Some(term) = term {
-            term.fast_failures += 1;
-        }
-        false
-    });
-}
-
-/// The result of a renewal.
-enum Renewed {
-    Applied,
-    Superseded(OwnerRow),
-    NotConfirmed,
-}
-
-/// Renews the owner row, and records the result in the term.
-async fn renew(cx: &Cx, current: &mut OwnerRow) -> Renewed {
-    let sent = cx.now();
-    let record = OwnerRecord { renewed_ms: cx.table.clock_ms(), ..current.record.clone() };
-    // A renewal is repeated early: its answer may be lost, and repeating it does no harm.
-    let max_wait = cx.table.latency().check_delay();
-    let written = row::write(cx, &record, current.version, max_wait).await;
-    let fast = cx.now().saturating_sub(sent) < FAST_FAILURE;
-    match &written {
-        RowWrite::Applied(_) => confirm_term(cx),
-        RowWrite::NotConfirmed if fast => record_fast_failure(cx),
-        RowWrite::NotConfirmed | RowWrite::Superseded(_) => {}
-    }
-    match written {
-        RowWrite::Applied(version) => {
-            *current = OwnerRow { record, version };
-            Renewed::Applied
-        }
-        RowWrite::Superseded(other) => Renewed::Superseded(other),
-        RowWrite::NotConfirmed => Renewed::NotConfirmed,
-    }
+/// Whether this daemon owns the cell and its term allows it to send orders now.
+#[must_use]
+pub fn may_act(cx: &Cx) -> bool {
+    cx.term.borrow().is_some_and(|t| t.may_act(cx.now()))
 }
--- a/crates/catkin-node/src/leadership/row.rs
+++ b/crates/catkin-node/src/leadership/row.rs
@@ -35,6 +35,8 @@
 pub(super) enum RowWrite {
     /// The row was written and has this version.
     Applied(u64),
+    /// The row holds an earlier attempt of the same write, whose answer was lost.
+    AppliedEarlier(OwnerRow),
     /// An owner of another term has written the row.
     Superseded(OwnerRow),
     /// The write was rejected, or its answer was lost.
@@ -58,10 +60,9 @@
         Ok(CommitOutcome::Committed { version, .. }) => RowWrite::Applied(version),
         Ok(CommitOutcome::Conflict(rows)) => {
             let other = rows.first().map_or_else(OwnerRow::default, parse);
-            // The row holds an earlier attempt of the same write, whose answer was lost.
             let same = other.record.epoch == record.epoch
                 && other.record.incarnation == record.incarnation;
-            if same { RowWrite::Applied(other.version) } else { RowWrite::Superseded(other) }
+            if same { RowWrite::AppliedEarlier(other) } else { RowWrite::Superseded(other) }
         }
         Err(Error::NotDone(e)) => {
             tracing::debug!("lead: owner row not written: {e}");
@@ -79,7 +80,7 @@
     current.record.address = String::new();
     match write(cx, &current.record, current.version, TABLE_TIMEOUT).await {
         RowWrite::Applied(version) => OwnerRow { version, ..current },
-        RowWrite::Superseded(other) => other,
+        RowWrite::AppliedEarlier(other) | RowWrite::Superseded(other) => other,
         RowWrite::NotConfirmed => current,
     }
 }
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -199,7 +199,7 @@
             max_lease: crate::settings::duration_from_ms(limits.lease_ms),
             gang_wait: crate::settings::duration_from_ms(limits.gang_wait_ms),
             ended_retention: crate::settings::duration_from_ms(limits.remember_ms),
-            autonomy: crate::leadership::AUTONOMY_LIMIT,
+            autonomy: crate::leadership::term::AUTONOMY_LIMIT,
             ..Options::default()
         };
         let cell = Cell::new(opt, args.epoch, now);
@@ -281,6 +281,11 @@
     }
 
     fn handle(&mut self, msg: Message) {
+        if !crate::leadership::may_act(&self.cx) {
+            // The process may have been suspended: the term ends with the next renewal.
+            tracing::debug!("owner: message dropped, the term is over");
+            return;
+        }
         let now = self.cx.now();
         let mut out = Vec::new();
         match msg {
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | table | part | key | value | written by |
 //! | --- | --- | --- | --- | --- |
-//! | `cell` | | `lead` | [`OwnerRecord`] | the owner, each [`crate::leadership::RENEW_INTERVAL`]; its successor |
+//! | `cell` | | `lead` | [`OwnerRecord`] | the owner, each [`crate::leadership::renewal::RENEW_INTERVAL`]; its successor |
 //! | `shard` | `0`.. | `head` | [`Head`] | the owner, in every transaction on jobs of the part |
 //! | `job` | `0`.. | job | [`catkin_cell::Job`] | the daemon that accepts or cancels it; the owner removes it |
 //! | `progress` | `0`.. | job | [`Progress`] | the owner |
--- a/crates/catkin-node/tests/node/main.rs
+++ b/crates/catkin-node/tests/node/main.rs
@@ -9,4 +9,5 @@
 mod latency;
 mod refusal;
 mod settings;
+mod term;
 mod watch;
