Takeover: a new owner waits for unheard workers until no earlier owner can act, not for a full autonomy in each term

Callers saw accepted jobs that did not run for 17 s after each takeover (15 s before the longest lease was waited for), where a worker with a recorded start is gone. The wait counted 10 s of autonomy from the start of each term, also when the earlier owner had released the cell or was an earlier process of the same daemon, and anew for owners before it.

The owner row now carries `earlier_owners_ms`: how long after its writing owners of earlier terms may still act. A new owner takes the maximum of that and what the previous owner itself may still do, and the cell holds steps until then and the longest lease.

Why it is not too short: - The previous owner acts for 10 s from the sending of its last write that took effect at most (commit before the last). The claim is conditional on that write or a later one, so it is sent later; the 10 s count from there. - It acts no more if the row has no address: it stops before it releases. Nor if the row names this daemon: a daemon is one process at a time. - An owner before it may act for as long as the row says from the writing, and that is counted from the sending of the claim, which is later. - Times are passed on as what is left, rounded up, and counted on one's own clock: no two clocks are compared. The service's clock is not needed, and a clock of it that begins anew does no harm. What is given away is the age of the row, a second or two for each takeover. - A row without the field, or one that can't be decoded, stands for the full autonomy, and no row for more than that. - After its last act an earlier owner's tasks run for the lease that it asked for, or for the longest lease of workers and a stray call to a restarted one by a slow clock (7.4 s where they grant 6 s). The larger one is waited for.

Ruled out: a time on the service's clock in the row. It saves the age of the row and needs estimates of two daemons to agree. Also ruled out: to count the lease from an earlier time than the claim for owners that are gone, since the previous owner may have renewed it just before.

Tests: `new_owner_waits_only_for_the_leases_of_a_predecessor_that_is_gone` fails without the bound (`left: 3, right: 5`). With owners that continue cut too short the simulation finds a task on two workers: with no autonomy at all, and with a bound that is not carried over a second takeover, in `owners_wait_for_an_isolated_one_before_their_predecessor` (`12.53s: Task { .. } runs on two workers`). `no_owner_of_a_series_acts_beyond_what_a_successor_knows` runs the real rows of 2,000 series of six owners with different clocks; it fails when what the row says is ignored. A simulated owner now continues for 10 s after a takeover instead of 2 s.

--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -41,7 +41,8 @@
     pub start_window: Duration,
     /// How long the members of a gang wait at the workers until all of them have started.
     pub gang_wait: Duration,
-    /// How long an earlier owner may have acted without contact to the table service.
+    /// How long after the start of the term owners of earlier terms may act, unless
+    /// [`Cell::limit_earlier_owners`] tells an earlier end.
     pub autonomy: Duration,
     /// The interval at which an order to stop without an answer is sent again.
     pub stop_resend_interval: Duration,
@@ -92,7 +93,8 @@
 pub struct Cell {
     opt: Options,
     epoch: Epoch,
-    term_start: Duration,
+    /// From then on no owner of an earlier term acts.
+    earlier_owners_until: Duration,
     /// The time of the last tick.
     now: Duration,
     queues: BTreeMap<String, Queue>,
@@ -180,9 +182,9 @@
     pub fn new(opt: Options, epoch: Epoch, now: Duration) -> Self {
         let fleet = HealthTracker::new(opt.health.clone());
         Self {
-            opt,
             epoch,
-            term_start: now,
+            earlier_owners_until: now + opt.autonomy,
+            opt,
             now,
             queues: BTreeMap::new(),
             workers: Vec::new(),
--- a/crates/catkin-cell/src/cell/settle.rs
+++ b/crates/catkin-cell/src/cell/settle.rs
@@ -9,11 +9,15 @@
 const LEASE_MARGIN_DIVISOR: u32 = 10;
 
 impl Cell {
+    /// Records that no owner of an earlier term acts from `until` on, at the latest.
+    pub fn limit_earlier_owners(&mut self, until: Duration) {
+        self.earlier_owners_until = self.earlier_owners_until.min(until);
+    }
+
     /// Settles the waiting steps of which no task can run unknown to this owner. If no task is assigned either, nothing
     /// of the step runs, and its recorded workers are removed: later owners need not wait for them.
     pub(super) fn settle_steps(&mut self, now: Duration) {
-        let wait = self.opt.autonomy + self.max_run_time();
-        let wait_over = now.saturating_sub(self.term_start) > wait;
+        let wait_over = now > self.earlier_owners_until + self.max_run_time();
         let steps: Vec<StepRef> = self.waiting_steps.iter().copied().collect();
         for r in steps {
             let Self { jobs, settled_workers, .. } = self;
@@ -35,7 +39,7 @@
     }
 
     /// Returns whether no task of the step can run unknown to this owner. A worker that an earlier owner may have used
-    /// is settled once it answered in this term, or once that owner's autonomy and what it has started last have run out.
+    /// is settled once it answered in this term, or once no earlier owner acts and what they have started last has run out.
     pub(super) fn is_settled(&self, r: StepRef) -> bool {
         self.step(r).is_some_and(|s| s.unsettled.is_empty())
     }
--- a/crates/catkin-cell/tests/cell/takeover.rs
+++ b/crates/catkin-cell/tests/cell/takeover.rs
@@ -1,7 +1,7 @@
 //! What a new owner waits for before it starts tasks that an earlier owner may have started.
 
 use crate::owner::step;
-use crate::world::World;
+use crate::world::{AUTONOMY, World};
 use catkin_cell::action::StoredJob;
 use catkin_cell::job::{Job, Step};
 use catkin_cell::worker::{RunningTask, WorkerReport};
@@ -10,9 +10,12 @@
 
 /// How long a lost gang takes to be known as lost, with some room: its lease and the polls without an answer.
 const LOSS_TIME: Duration = Duration::from_secs(5);
+/// How long a worker runs a task after the last call of its owner at most: the longest lease that it grants and a call
+/// that takes a second, by a slow clock.
+const LONGEST_RUN: Duration = Duration::from_millis(9_460);
 /// How long an owner waits for a worker that does not answer, with some room: its predecessor's autonomy and a lease of
 /// the longest kind.
-const SETTLE_TIME: Duration = Duration::from_secs(13);
+const SETTLE_TIME: Duration = Duration::from_secs(21);
 /// How long an owner that has to wait for nothing takes to start a gang, with some room.
 const START_TIME: Duration = Duration::from_secs(1);
 
@@ -74,6 +77,37 @@
     assert_gang_starts(&mut w);
 }
 
+#[test]
+fn new_owner_waits_only_for_the_leases_of_a_predecessor_that_is_gone() {
+    let mut w = world_with_gang();
+    disconnect_gang_member(&mut w);
+    crash_owner(&mut w);
+    run_for(&mut w, LONGEST_RUN);
+    assert_gang_starts(&mut w);
+}
+
+#[test]
+fn owners_wait_for_an_isolated_one_before_their_predecessor() {
+    let mut w = World::new(17, 2, false);
+    w.faults.owner_isolated = 1_000;
+    w.take_over(None);
+    w.accept(1, vec![step(1, 3_000, 60_000)]);
+    run_for(&mut w, START_TIME);
+    // The first owner continues for its autonomy and reaches only the worker that its successors do not reach.
+    let n = w.workers.iter().position(|w| !w.running.is_empty()).expect("a worker runs the task");
+    let cut_off = Duration::from_secs(60);
+    w.cut_off(1 - n, cut_off);
+    let end = w.now + AUTONOMY;
+    w.take_over(Some(end));
+    w.cut_off(n, cut_off);
+    run_for(&mut w, START_TIME);
+    crash_owner(&mut w);
+    w.cut_off(n, cut_off);
+    run_for(&mut w, SETTLE_TIME);
+    assert_eq!(w.violations, Vec::<String>::new());
+    assert_eq!(w.workers[1 - n].running.len(), 1, "{}", w.explain());
+}
+
 /// The owner is lost some ticks after it began to start a task on the first worker, which its successor can't reach.
 /// `crash` restarts that worker before or after the takeover.
 fn assert_restarted_worker_is_waited_for(crash: impl Fn(&mut World, fn(&mut World))) {
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -21,6 +21,8 @@
 /// The lease that owners request. Workers grant longer ones.
 const REQUESTED_LEASE: Duration = Duration::from_millis(2_500);
 
+/// How long an owner acts after a takeover at most.
+pub const AUTONOMY: Duration = Duration::from_secs(10);
 /// How long a long poll waits at a worker.
 const POLL_WAIT: Duration = Duration::from_millis(1_200);
 
@@ -35,6 +37,12 @@
     pub owner_crash: u32,
     /// The old owner continues for a while after a takeover.
     pub owner_continues: u32,
+    /// An old owner that continues gets no answer of the table.
+    pub owner_isolated: u32,
+    /// The new owner does not know that a crashed one is gone.
+    pub crash_unnoticed: u32,
+    /// A worker is unreachable for a new owner for seconds. An isolated old owner does not reach the others.
+    pub worker_cut_off: u32,
     /// A worker crashes, each second.
     pub worker_crash: u32,
     /// A worker is unreachable for seconds, each second.
@@ -71,6 +79,8 @@
     writing: bool,
     polls: HashMap<WorkerIndex, (bool, Duration)>,
     crash_at: Option<Duration>,
+    /// Whether the table does not answer.
+    isolated: bool,
 }
 
 pub struct World {
@@ -83,6 +93,8 @@
     cut_off_until: HashMap<(Epoch, usize), Duration>,
     owners: Vec<Owner>,
     epoch: Epoch,
+    /// Until when owners before the newest one may act, as far as the newest one knows.
+    earlier_owners_until: Duration,
     events: BTreeMap<(Duration, u64), Event>,
     seq: u64,
     queue: Queue,
@@ -136,6 +148,7 @@
             cut_off_until: HashMap::new(),
             owners: Vec::new(),
             epoch: 0,
+            earlier_owners_until: Duration::ZERO,
             events: BTreeMap::new(),
             seq: 0,
             queue,
@@ -169,6 +182,11 @@
         self.random() % 1_000 < u64::from(per_mille)
     }
 
+    /// As [`Self::chance`], without a draw for a fault that is not injected.
+    fn fault(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.chance(per_mille)
+    }
+
     fn delay(&mut self) -> Duration {
         Duration::from_millis(1 + self.random() % 40)
     }
@@ -209,17 +227,24 @@
 
     /// A new owner takes over. The old one crashes at `crash_at`, or continues until an answer fences it.
     pub fn take_over(&mut self, crash_at: Option<Duration>) {
+        let crashed = self.owners.is_empty() || crash_at.is_some_and(|at| at <= self.now);
+        if !crashed || self.fault(self.faults.crash_unnoticed) {
+            self.earlier_owners_until = self.now + AUTONOMY;
+        }
+        let isolated = !crashed && self.fault(self.faults.owner_isolated);
         if let Some(owner) = self.owners.last_mut() {
             owner.crash_at = crash_at;
+            owner.isolated = isolated;
         }
         self.epoch += 1;
         let opt = Options {
-            autonomy: Duration::from_secs(2),
+            autonomy: AUTONOMY,
             lease: REQUESTED_LEASE,
             max_lease: crate::worker::MAX_LEASE,
             ..Options::default()
         };
         let mut cell = Cell::new(opt, self.epoch, self.now);
+        cell.limit_earlier_owners(self.earlier_owners_until.max(self.now));
         cell.configure([("q".to_owned(), self.queue.clone())]);
         for (id, job) in &self.jobs {
             let progress = self.progress.get(id).cloned().unwrap_or_default();
@@ -233,6 +258,7 @@
             writing: false,
             polls: HashMap::new(),
             crash_at: None,
+            isolated: false,
         });
     }
 
@@ -288,8 +314,9 @@
         let rates = self.faults;
         if self.chance(rates.owner_crash) {
             let continues = self.chance(rates.owner_continues);
-            let crash_at = if continues { self.now + Duration::from_secs(2) } else { self.now };
+            let crash_at = if continues { self.now + AUTONOMY } else { self.now };
             self.take_over(Some(crash_at));
+            self.cut_off_workers();
         }
         for n in 0..self.workers.len() {
             if self.chance(rates.worker_crash) {
@@ -306,6 +333,20 @@
         }
     }
 
+    /// Divides the workers between the newest owner and an isolated one before it. An owner that is fenced anywhere would
+    /// step down.
+    fn cut_off_workers(&mut self) {
+        let isolated = self.owners.iter().rev().find(|o| o.isolated).map(|o| o.epoch);
+        for n in 0..self.workers.len() {
+            if self.fault(self.faults.worker_cut_off) {
+                let time = Duration::from_millis(500 + self.random() % 30_000);
+                self.cut_off(n, time);
+            } else if let Some(epoch) = isolated {
+                self.cut_off_until.insert((epoch, n), self.now + AUTONOMY);
+            }
+        }
+    }
+
     fn advance_workers(&mut self) {
         for n in 0..self.workers.len() {
             let mut facts = Vec::new();
@@ -425,6 +466,9 @@
     /// Applies a batch to the table, which accepts writes of the newest owner only.
     fn write(&mut self, epoch: Epoch, batch: &[Write]) {
         let now = self.now;
+        if self.owners.iter().any(|owner| owner.epoch == epoch && owner.isolated) {
+            return;
+        }
         if epoch == self.epoch {
             for w in batch {
                 match w {
--- a/crates/catkin-node/src/leadership/mod.rs
+++ b/crates/catkin-node/src/leadership/mod.rs
@@ -5,6 +5,7 @@
 //! Clocks only determine how soon a dead owner is replaced.
 
 pub mod candidate;
+pub mod earlier;
 pub mod load;
 pub mod renewal;
 mod row;
@@ -18,6 +19,7 @@
 use catkin_cell::worker::millis;
 use catkin_schema::peer::{Heartbeat, Request, Response};
 use catkin_types::Epoch;
+use earlier::EarlierOwners;
 use rand::RngExt;
 use renewal::{Renewed, confirm_term, keep_renewed, renew, renew_interval};
 use row::{OwnerRow, RowWrite, TABLE_TIMEOUT};
@@ -186,6 +188,7 @@
         return previous;
     }
     let sent = cx.now();
+    let earlier = EarlierOwners::new(&previous.record, &cx.cfg.daemon.id, sent);
     let claimed = OwnerRecord {
         epoch: previous.record.epoch + 1,
         daemon: cx.cfg.daemon.id.clone(),
@@ -193,6 +196,7 @@
         address: cx.peer_address(),
         renewed_ms: cx.table.clock_ms(),
         peers: other_peers(cx, &previous.record),
+        earlier_owners_ms: earlier.left_ms(sent),
     };
     let current = match row::write(cx, &claimed, previous.version, TABLE_TIMEOUT).await {
         RowWrite::Applied(version) => OwnerRow { record: claimed, version },
@@ -203,12 +207,13 @@
     tracing::info!(
         epoch = current.record.epoch,
         from = previous.record.daemon,
+        earlier_owners_ms = current.record.earlier_owners_ms,
         age_ms = current.record.renewed_ms.saturating_sub(previous.record.renewed_ms),
         "lead: taken over"
     );
     cx.metrics.count_takeover();
     let epoch = current.record.epoch;
-    cx.term.send_replace(Some(Term::new(epoch, sent, cx.now())));
+    cx.term.send_replace(Some(Term::new(epoch, sent, cx.now(), earlier)));
     publish_leader(cx, &current.record);
     let current = run_as_owner(cx, current).await;
     cx.term.send_replace(None);
--- a/crates/catkin-node/src/leadership/renewal.rs
+++ b/crates/catkin-node/src/leadership/renewal.rs
@@ -2,7 +2,6 @@
 
 use super::row::{self, OwnerRow, RowWrite};
 use crate::cx::Cx;
-use crate::table::OwnerRecord;
 use std::time::Duration;
 
 /// The interval at which the owner renews its row.
@@ -71,7 +70,7 @@
 /// Renews the owner row, and records the result in the term.
 pub(super) async fn renew(cx: &Cx, current: &mut OwnerRow) -> Renewed {
     let sent = cx.now();
-    let record = OwnerRecord { renewed_ms: cx.table.clock_ms(), ..current.record.clone() };
+    let record = row::stamp(cx, &current.record);
     // A renewal is repeated early: its answer may be lost, and repeating it does no harm.
     let max_wait = cx.table.latency().check_delay();
     let written = row::write(cx, &record, current.version, max_wait).await;
--- a/crates/catkin-node/src/leadership/row.rs
+++ b/crates/catkin-node/src/leadership/row.rs
@@ -28,7 +28,19 @@
 }
 
 fn parse(row: &Row) -> OwnerRow {
-    OwnerRow { record: table::decode(row).unwrap_or_default(), version: row.version }
+    // A row that can't be decoded does not tell that no earlier owner acts.
+    let unknown = || OwnerRecord { earlier_owners_ms: u64::MAX, ..OwnerRecord::default() };
+    OwnerRow { record: table::decode(row).unwrap_or_else(unknown), version: row.version }
+}
+
+/// Returns the record of the running term as it is to be written now.
+pub(super) fn stamp(cx: &Cx, record: &OwnerRecord) -> OwnerRecord {
+    let left_ms = cx.term.borrow().map(|t| t.earlier.left_ms(cx.now()));
+    OwnerRecord {
+        renewed_ms: cx.table.clock_ms(),
+        earlier_owners_ms: left_ms.unwrap_or(record.earlier_owners_ms),
+        ..record.clone()
+    }
 }
 
 /// The result of writing the owner row.
@@ -77,7 +89,7 @@
 
 /// Clears the address in the owner row, so that another daemon can take over without waiting for a timeout.
 pub(super) async fn release(cx: &Cx, mut current: OwnerRow) -> OwnerRow {
-    current.record.address = String::new();
+    current.record = OwnerRecord { address: String::new(), ..stamp(cx, &current.record) };
     match write(cx, &current.record, current.version, TABLE_TIMEOUT).await {
         RowWrite::Applied(version) => OwnerRow { version, ..current },
         RowWrite::AppliedEarlier(other) | RowWrite::Superseded(other) => other,
--- a/crates/catkin-node/src/leadership/term.rs
+++ b/crates/catkin-node/src/leadership/term.rs
@@ -2,6 +2,7 @@
 //!
 //! Pure. Times are those of [`crate::cx::Cx::now`].
 
+use super::earlier::EarlierOwners;
 use catkin_types::Epoch;
 use std::time::Duration;
 
@@ -20,13 +21,15 @@
     pub renewed_at: Duration,
     /// The number of renewals that failed at once, in a row.
     pub fast_failures: u32,
+    /// Until when owners of earlier terms may act.
+    pub earlier: EarlierOwners,
 }
 
 impl Term {
     /// Returns a term whose claim was sent at `claimed_at` and confirmed at `now`.
     #[must_use]
-    pub fn new(epoch: Epoch, claimed_at: Duration, now: Duration) -> Self {
-        Self { epoch, confirmed_at: now, renewed_at: claimed_at, fast_failures: 0 }
+    pub fn new(epoch: Epoch, claimed_at: Duration, now: Duration, earlier: EarlierOwners) -> Self {
+        Self { epoch, confirmed_at: now, renewed_at: claimed_at, fast_failures: 0, earlier }
     }
 
     /// Records that the table service confirmed a write of this term.
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -15,6 +15,9 @@
         let now = self.cx.now();
         self.last_pass = now;
         let mut out = Vec::new();
+        if let Some(term) = *self.cx.term.borrow() {
+            self.cell.limit_earlier_owners(term.earlier.until());
+        }
         self.cell.begin_occurrences(unix_time_ms());
         self.cell.tick(now, &mut out);
         self.execute(out, now);
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -13,6 +13,8 @@
 pub mod clock;
 pub mod latency;
 
+use crate::leadership::term::AUTONOMY_LIMIT;
+use catkin_cell::worker::millis;
 use catkin_cell::{Progress, State};
 use catkin_platform::store::{Key, Row, Transaction};
 use catkin_types::id::format_job;
@@ -44,6 +46,14 @@
     /// Where the daemons take calls that the owner has heard of lately.
     #[serde(default)]
     pub peers: Vec<String>,
+    /// How long after the record was written owners of earlier terms may still act, in milliseconds.
+    #[serde(default = "full_autonomy_ms")]
+    pub earlier_owners_ms: u64,
+}
+
+/// Returns how long earlier owners may act at most, for a record that does not tell.
+fn full_autonomy_ms() -> u64 {
+    millis(AUTONOMY_LIMIT)
 }
 
 /// The fencing row of a part: the term that may write its jobs, and the number of writes in this term.
--- a/crates/catkin-node/tests/node/main.rs
+++ b/crates/catkin-node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod availability;
 mod candidate;
 mod clock;
+mod earlier;
 mod jobs;
 mod latency;
 mod refusal;
--- a/crates/catkin-node/tests/node/term.rs
+++ b/crates/catkin-node/tests/node/term.rs
@@ -1,12 +1,13 @@
 //! How long an owner acts without an answer of the table service.
 
+use catkin_node::leadership::earlier::EarlierOwners;
 use catkin_node::leadership::term::{AUTONOMY_LIMIT, Term};
 use std::time::Duration;
 
 #[test]
 fn autonomy_counts_from_the_sending_of_the_last_renewal_and_not_from_its_answer() {
     let (claimed_at, answered_at) = (Duration::from_secs(1), Duration::from_secs(3));
-    let mut term = Term::new(4, claimed_at, answered_at);
+    let mut term = Term::new(4, claimed_at, answered_at, EarlierOwners::default());
     assert!(term.may_act(claimed_at + AUTONOMY_LIMIT));
     assert!(!term.may_act(claimed_at + AUTONOMY_LIMIT + Duration::from_millis(1)));
     // A successor may claim the cell beside a confirmation that does not write the row.
