Cell: a task of an unreachable worker is lost only if its lease ran out while the term was confirmed

A task could run on two workers at a time, in a network that is divided: the owner reaches neither the table nor a worker, its successor reaches both. The successor takes the worker's tasks over and renews its lease; the old owner counts the lease that it asked for, takes the tasks for lost, and starts them on another worker of the same step that only it reaches.

A lease that an owner has asked for says when a task ends only if nobody else renews it. At `Term::renewed_at` there was no later owner yet, so a lease has to be over by then.

--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -95,6 +95,8 @@
     epoch: Epoch,
     /// From then on no owner of an earlier term acts.
     earlier_owners_until: Duration,
+    /// When no owner of a later term existed; `None` if that is not tracked.
+    confirmed_at: Option<Duration>,
     /// The time of the last tick.
     now: Duration,
     queues: BTreeMap<String, Queue>,
@@ -184,6 +186,7 @@
         Self {
             epoch,
             earlier_owners_until: now + opt.autonomy,
+            confirmed_at: None,
             opt,
             now,
             queues: BTreeMap::new(),
--- a/crates/catkin-cell/src/cell/settle.rs
+++ b/crates/catkin-cell/src/cell/settle.rs
@@ -14,6 +14,11 @@
         self.earlier_owners_until = self.earlier_owners_until.min(until);
     }
 
+    /// Records that no owner of a later term existed at `at`. Without such a call that is taken for granted.
+    pub fn confirm_term(&mut self, at: Duration) {
+        self.confirmed_at = Some(at);
+    }
+
     /// Settles the waiting steps of which no task can run unknown to this owner. If no task is assigned either, nothing
     /// of the step runs, and its recorded workers are removed: later owners need not wait for them.
     pub(super) fn settle_steps(&mut self, now: Duration) {
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -203,8 +203,10 @@
         self.stray_period() + self.stray_period() / STRAY_MARGIN_DIVISOR
     }
 
-    /// Marks the tasks of unresponsive workers as lost once their leases have run out.
+    /// Marks the tasks of unresponsive workers as lost once their leases have run out. An owner of a later term may renew
+    /// these leases: they have to run out before the last time at which there was none.
     pub(super) fn expire_leases(&mut self, now: Duration) {
+        let now = self.confirmed_at.map_or(now, |at| at.min(now));
         let stray_period = self.stray_period();
         let expired = |w: &Worker| {
             let Some(clock) = w.min_clock_ms(now) else {
--- a/crates/catkin-cell/tests/cell/faults.rs
+++ b/crates/catkin-cell/tests/cell/faults.rs
@@ -60,6 +60,20 @@
     });
 }
 
+#[test]
+fn old_owners_reach_workers_that_their_successors_do_not() {
+    assert_invariants_hold(Faults {
+        owner_crash: 80,
+        owner_continues: 700,
+        owner_isolated: 800,
+        crash_unnoticed: 300,
+        worker_cut_off: 500,
+        worker_lag_per_mille: 20,
+        duration_factor: 12,
+        ..Faults::default()
+    });
+}
+
 #[test]
 fn worker_crashes_and_partitions() {
     assert_invariants_hold(Faults {
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -235,6 +235,7 @@
         if let Some(owner) = self.owners.last_mut() {
             owner.crash_at = crash_at;
             owner.isolated = isolated;
+            owner.cell.confirm_term(self.now);
         }
         self.epoch += 1;
         let opt = Options {
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -17,6 +17,7 @@
         let mut out = Vec::new();
         if let Some(term) = *self.cx.term.borrow() {
             self.cell.limit_earlier_owners(term.earlier.until());
+            self.cell.confirm_term(term.renewed_at);
         }
         self.cell.begin_occurrences(unix_time_ms());
         self.cell.tick(now, &mut out);
