--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod polls;
 mod rank;
 mod save;
+mod settle;
 mod workers;
 
 pub use advice::AdviceAnswer;
@@ -42,7 +43,8 @@
     pub start_window: Duration,
     /// How long the members of a gang wait at the workers until all of them have started.
     pub gang_wait: Duration,
-    /// How long an earlier owner may have acted without contact to the table service.
+    /// How long after the start of the term owners of earlier terms may act, unless
+    /// [`Cell::limit_earlier_owners`] tells an earlier end.
     pub autonomy: Duration,
     /// The interval at which an order to stop without an answer is sent again.
     pub stop_resend_interval: Duration,
@@ -94,7 +96,10 @@
 pub struct Cell {
     opt: Options,
     epoch: Epoch,
-    term_start: Duration,
+    /// From then on no owner of an earlier term acts.
+    earlier_owners_until: Duration,
+    /// When no owner of a later term existed; `None` if that is not tracked.
+    confirmed_at: Option<Duration>,
     /// The time of the last tick.
     now: Duration,
     queues: BTreeMap<String, Queue>,
@@ -186,9 +191,10 @@
     pub fn new(opt: Options, epoch: Epoch, now: Duration) -> Self {
         let fleet = HealthTracker::new(opt.health.clone());
         Self {
-            opt,
             epoch,
-            term_start: now,
+            earlier_owners_until: now + opt.autonomy,
+            confirmed_at: None,
+            opt,
             now,
             queues: BTreeMap::new(),
             workers: Vec::new(),
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -151,7 +151,8 @@
             && self.fleet.worker_health(&w.info.id, now) != WorkerHealth::Quarantined
     }
 
-    /// Handles a restart of the worker: the tasks of its last incarnation are lost.
+    /// Handles a restart of the worker: the tasks of its last incarnation are lost. The new one may have taken an order of
+    /// an earlier owner that was meant for the last one, so the worker is not settled before it answers.
     pub(super) fn restart_worker(
         &mut self,
         idx: WorkerIndex,
@@ -160,8 +161,6 @@
     ) {
         let w = self.worker_mut(idx);
         let lost = w.begin_incarnation(incarnation, now);
-        let id = w.info.id.clone();
-        self.settled_workers.insert(id);
         for task in lost {
             self.mark_lost(task, idx);
         }
@@ -204,17 +203,28 @@
         }
     }
 
-    /// Marks the tasks of unresponsive workers as lost once their leases have run out.
+    /// Returns how long after it was sent a call that was meant for an earlier incarnation of a worker can keep a task
+    /// running, on the worker's clock. The clock of each incarnation begins at 0, so that such a call gives the longest
+    /// lease.
+    fn stray_period(&self) -> Duration {
+        self.opt.max_call_delay + self.opt.max_lease
+    }
+
+    /// Returns the stray period on the owner's clock, for the slowest clock of a worker.
+    pub(super) fn max_stray_period(&self) -> Duration {
+        self.stray_period() + self.stray_period() / STRAY_MARGIN_DIVISOR
+    }
+
+    /// Marks the tasks of unresponsive workers as lost once their leases have run out. An owner of a later term may renew
+    /// these leases: they have to run out before the last time at which there was none.
     pub(super) fn expire_leases(&mut self, now: Duration) {
-        // The clock of each incarnation begins at 0. A call meant for an earlier incarnation may have given this one
-        // the longest lease.
-        let stray_period = self.opt.max_call_delay + self.opt.max_lease;
+        let now = self.confirmed_at.map_or(now, |at| at.min(now));
+        let stray_period = self.stray_period();
         let expired = |w: &Worker| {
             let Some(clock) = w.min_clock_ms(now) else {
                 // The worker has not answered in this incarnation.
                 let since = w.restarted_at.map(|at| now.saturating_sub(at));
-                return since
-                    .is_some_and(|d| d > stray_period + stray_period / STRAY_MARGIN_DIVISOR);
+                return since.is_some_and(|d| d > self.max_stray_period());
             };
             let lease_to = w.lease_to_ms.max(w.restarted_at.map_or(0, |_| millis(stray_period)));
             clock > lease_to + LEASE_MARGIN_MS
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -6,5 +6,6 @@
 mod liveness;
 mod owner;
 mod queued_advice;
+mod takeover;
 mod worker;
 mod world;
--- a/crates/catkin-cell/tests/cell/world/events.rs
+++ b/crates/catkin-cell/tests/cell/world/events.rs
@@ -28,7 +28,7 @@
 
     pub(super) fn deliver_start(&mut self, s: Start, epoch: Epoch, answered: bool) {
         let now = self.now;
-        let (n, unreachable) = self.worker_reachability(s.worker);
+        let (n, unreachable) = self.worker_reachability(s.worker, epoch);
         if unreachable {
             if answered {
                 let when = now + Duration::from_millis(600);
@@ -64,7 +64,7 @@
             Event::DeliverStop(s, _, _, receiver) if self.is_dropped(s.worker, receiver) => {}
             Event::DeliverStart(s, epoch, answered, _) => self.deliver_start(s, epoch, answered),
             Event::DeliverStop(s, epoch, answered, _) => {
-                let (n, unreachable) = self.worker_reachability(s.worker);
+                let (n, unreachable) = self.worker_reachability(s.worker, epoch);
                 if unreachable {
                     if answered {
                         let when = now + Duration::from_millis(600);
@@ -79,7 +79,7 @@
                 }
             }
             Event::DeliverPoll(idx, epoch, sent, lease, acknowledged, wait_until) => {
-                let (n, unreachable) = self.worker_reachability(idx);
+                let (n, unreachable) = self.worker_reachability(idx, epoch);
                 if unreachable {
                     let when = now + Duration::from_millis(700);
                     self.schedule_event(when, Event::PollReply(idx, epoch, sent, None));
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -27,6 +27,8 @@
 /// The lease that owners request. Workers grant longer ones.
 const REQUESTED_LEASE: Duration = Duration::from_millis(2_500);
 
+/// How long an owner acts after a takeover at most.
+pub const AUTONOMY: Duration = Duration::from_secs(10);
 /// How long a long poll waits at a worker.
 const POLL_WAIT: Duration = Duration::from_millis(1_200);
 
@@ -36,8 +38,12 @@
     pub faults: Faults,
     pub workers: Vec<Worker>,
     partitioned_until: Vec<Duration>,
+    /// Until when a worker can't be reached by one owner, by the owner's epoch and the worker.
+    cut_off_until: HashMap<(Epoch, usize), Duration>,
     owners: Vec<Owner>,
     epoch: Epoch,
+    /// Until when owners before the newest one may act, as far as the newest one knows.
+    earlier_owners_until: Duration,
     events: BTreeMap<(Duration, u64), Event>,
     seq: u64,
     queue: Queue,
@@ -88,8 +94,10 @@
             faults: Faults::default(),
             workers: (0..workers).map(|n| Worker::new(n, capacity)).collect(),
             partitioned_until: vec![Duration::ZERO; workers],
+            cut_off_until: HashMap::new(),
             owners: Vec::new(),
             epoch: 0,
+            earlier_owners_until: Duration::ZERO,
             events: BTreeMap::new(),
             seq: 0,
             queue,
--- a/crates/catkin-cell/tests/cell/world/owners.rs
+++ b/crates/catkin-cell/tests/cell/world/owners.rs
@@ -1,7 +1,7 @@
 //! Owners: takeovers, the actions that they request, and the calls that they send.
 
 use super::events::Event;
-use super::{POLL_WAIT, REQUESTED_LEASE, World};
+use super::{AUTONOMY, POLL_WAIT, REQUESTED_LEASE, World};
 use catkin_cell::action::StoredJob;
 use catkin_cell::worker::{Reply, WorkerIndex};
 use catkin_cell::{Action, Cell, Options, Start, Stop};
@@ -16,22 +16,32 @@
     pub(super) writing: bool,
     pub(super) polls: HashMap<WorkerIndex, (bool, Duration)>,
     pub(super) crash_at: Option<Duration>,
+    /// Whether the table does not answer.
+    pub(super) isolated: bool,
 }
 
 impl World {
     /// A new owner takes over. The old one crashes at `crash_at`, or continues until an answer fences it.
     pub fn take_over(&mut self, crash_at: Option<Duration>) {
+        let crashed = self.owners.is_empty() || crash_at.is_some_and(|at| at <= self.now);
+        if !crashed || self.fault(self.faults.crash_unnoticed) {
+            self.earlier_owners_until = self.now + AUTONOMY;
+        }
+        let isolated = !crashed && self.fault(self.faults.owner_isolated);
         if let Some(owner) = self.owners.last_mut() {
             owner.crash_at = crash_at;
+            owner.isolated = isolated;
+            owner.cell.confirm_term(self.now);
         }
         self.epoch += 1;
         let opt = Options {
-            autonomy: Duration::from_secs(2),
+            autonomy: AUTONOMY,
             lease: REQUESTED_LEASE,
             max_lease: crate::worker::MAX_LEASE,
             ..Options::default()
         };
         let mut cell = Cell::new(opt, self.epoch, self.now);
+        cell.limit_earlier_owners(self.earlier_owners_until.max(self.now));
         cell.configure([("q".to_owned(), self.queue.clone())]);
         for (id, job) in &self.jobs {
             let progress = self.progress.get(id).cloned().unwrap_or_default();
@@ -45,6 +55,7 @@
             writing: false,
             polls: HashMap::new(),
             crash_at: None,
+            isolated: false,
         });
     }
 
@@ -66,6 +77,10 @@
                 Action::Start(s) => self.send_start(s, epoch),
                 Action::Stop(s) => self.send_stop(s, epoch),
                 Action::RequestAdvice(request) => {
+                    let now = self.now;
+                    let owner = self.owners.iter_mut().find(|owner| owner.epoch == epoch);
+                    let request = owner.and_then(|owner| owner.cell.confirm_advice(request, now));
+                    let Some(request) = request else { continue };
                     self.advice_request_sizes.push(request.workers.len());
                     let success = !self.chance(self.faults.answer_lost);
                     let when = self.now + request.cost + self.delay();
@@ -79,7 +94,7 @@
 
     pub(super) fn send_start(&mut self, s: Start, epoch: Epoch) {
         let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker);
+        let (_, unreachable) = self.worker_reachability(s.worker, epoch);
         if !answered || unreachable {
             let at = self.now + Duration::from_millis(600);
             self.schedule_event(at, Event::StartReply(s.clone(), epoch, Reply::Unknown));
@@ -92,7 +107,7 @@
 
     pub(super) fn send_stop(&mut self, s: Stop, epoch: Epoch) {
         let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker);
+        let (_, unreachable) = self.worker_reachability(s.worker, epoch);
         if !answered || unreachable {
             let at = self.now + Duration::from_millis(600);
             self.schedule_event(at, Event::StopReply(s.clone(), epoch, Reply::Unknown));
--- a/crates/catkin-cell/tests/cell/world/table.rs
+++ b/crates/catkin-cell/tests/cell/world/table.rs
@@ -8,6 +8,9 @@
     /// Applies a batch to the table, which accepts writes of the newest owner only.
     pub(super) fn write(&mut self, epoch: Epoch, batch: &[Write]) {
         let now = self.now;
+        if self.owners.iter().any(|owner| owner.epoch == epoch && owner.isolated) {
+            return;
+        }
         if epoch == self.epoch {
             for w in batch {
                 match w {
--- a/crates/catkin-node/src/leadership/row.rs
+++ b/crates/catkin-node/src/leadership/row.rs
@@ -28,13 +28,27 @@
 }
 
 fn parse(row: &Row) -> OwnerRow {
-    OwnerRow { record: table::decode(row).unwrap_or_default(), version: row.version }
+    // A row that can't be decoded does not tell that no earlier owner acts.
+    let unknown = || OwnerRecord { earlier_owners_ms: u64::MAX, ..OwnerRecord::default() };
+    OwnerRow { record: table::decode(row).unwrap_or_else(unknown), version: row.version }
+}
+
+/// Returns the record of the running term as it is to be written now.
+pub(super) fn stamp(cx: &Cx, record: &OwnerRecord) -> OwnerRecord {
+    let left_ms = cx.term.borrow().map(|t| t.earlier.left_ms(cx.now()));
+    OwnerRecord {
+        renewed_ms: cx.table.clock_ms(),
+        earlier_owners_ms: left_ms.unwrap_or(record.earlier_owners_ms),
+        ..record.clone()
+    }
 }
 
 /// The result of writing the owner row.
 pub(super) enum RowWrite {
     /// The row was written and has this version.
     Applied(u64),
+    /// The row holds an earlier attempt of the same write, whose answer was lost.
+    AppliedEarlier(OwnerRow),
     /// An owner of another term has written the row.
     Superseded(OwnerRow),
     /// The write was rejected, or its answer was lost.
@@ -58,10 +72,9 @@
         Ok(CommitOutcome::Committed { version, .. }) => RowWrite::Applied(version),
         Ok(CommitOutcome::Conflict(rows)) => {
             let other = rows.first().map_or_else(OwnerRow::default, parse);
-            // The row holds an earlier attempt of the same write, whose answer was lost.
             let same = other.record.epoch == record.epoch
                 && other.record.incarnation == record.incarnation;
-            if same { RowWrite::Applied(other.version) } else { RowWrite::Superseded(other) }
+            if same { RowWrite::AppliedEarlier(other) } else { RowWrite::Superseded(other) }
         }
         Err(Error::NotDone(e)) => {
             tracing::debug!("lead: owner row not written: {e}");
@@ -76,10 +89,10 @@
 
 /// Clears the address in the owner row, so that another daemon can take over without waiting for a timeout.
 pub(super) async fn release(cx: &Cx, mut current: OwnerRow) -> OwnerRow {
-    current.record.address = String::new();
+    current.record = OwnerRecord { address: String::new(), ..stamp(cx, &current.record) };
     match write(cx, &current.record, current.version, TABLE_TIMEOUT).await {
         RowWrite::Applied(version) => OwnerRow { version, ..current },
-        RowWrite::Superseded(other) => other,
+        RowWrite::AppliedEarlier(other) | RowWrite::Superseded(other) => other,
         RowWrite::NotConfirmed => current,
     }
 }
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | table | part | key | value | written by |
 //! | --- | --- | --- | --- | --- |
-//! | `cell` | | `lead` | [`OwnerRecord`] | the owner, each [`crate::leadership::RENEW_INTERVAL`]; its successor |
+//! | `cell` | | `lead` | [`OwnerRecord`] | the owner, each [`crate::leadership::renewal::RENEW_INTERVAL`]; its successor |
 //! | `shard` | `0`.. | `head` | [`Head`] | the owner, in every transaction on jobs of the part |
 //! | `job` | `0`.. | job | [`catkin_cell::Job`] | the daemon that accepts or cancels it; the owner removes it |
 //! | `progress` | `0`.. | job | [`Progress`] | the owner |
@@ -13,6 +13,8 @@
 pub mod clock;
 pub mod latency;
 
+use crate::leadership::term::AUTONOMY_LIMIT;
+use catkin_cell::worker::millis;
 use catkin_cell::{Progress, State};
 use catkin_platform::store::{Key, Row, Transaction};
 use catkin_types::id::format_job;
@@ -44,6 +46,14 @@
     /// Where the daemons take calls that the owner has heard of lately.
     #[serde(default)]
     pub peers: Vec<String>,
+    /// How long after the record was written owners of earlier terms may still act, in milliseconds.
+    #[serde(default = "full_autonomy_ms")]
+    pub earlier_owners_ms: u64,
+}
+
+/// Returns how long earlier owners may act at most, for a record that does not tell.
+fn full_autonomy_ms() -> u64 {
+    millis(AUTONOMY_LIMIT)
 }
 
 /// The fencing row of a part: the term that may write its jobs, and the number of writes in this term.
