Owner: a row that the table refuses for good holds its own job only

Seen by callers (would be): after one refused progress row no start of its part becomes durable, so a quarter of all accepted jobs stand still until the owner changes, and the next owner runs into the same row. New jobs of the part are written by the gates and never run. A job that is too large for a row gets 503 and is sent again and again; up to 19 jobs that share its batch get 503 with it, and its refusals count as an outage of the table.

Cause: status 400 was an error like 503 (`Error::NotDone`), and a batch is repeated until it is done.

Evidence, with a stand-in that refuses one row: refused::a_refused_progress_row_does_not_block_the_other_jobs_of_its_part, before: timed out after 60s waiting until node-0 shows job 44 as completed; the log shows `table: the service rejects calls` two to three times a second. refused::a_job_that_the_store_refuses_for_good_is_refused_for_good, before: left: Some(503), right: Some(413).

Until then the job neither reserves capacity nor starts tasks: no start of it can be durable. Its ends are not acknowledged, so no task runs twice. A new job that is refused is answered with 413.

After an answer that was lost, a refusal of the same rows says that the earlier attempt was not carried out either.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -38,6 +38,7 @@
             durable_version: 0,
             dirty: false,
             writing_version: None,
+            write_refused: false,
             accepted_at,
             deadline,
             has_started,
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -297,7 +297,7 @@
     fn update_waiting(&mut self, r: StepRef) {
         let is_waiting = self.jobs.get(&r.job).is_some_and(|j| {
             let is_waiting = j.step(r).is_some_and(|s| s.waiting().next().is_some());
-            j.outcome.is_none() && is_waiting && j.is_ready(r)
+            j.outcome.is_none() && !j.write_refused && is_waiting && j.is_ready(r)
         });
         if is_waiting {
             self.waiting_steps.insert(r);
--- a/crates/catkin-cell/src/cell/save.rs
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -4,7 +4,8 @@
 use crate::action::Write;
 use crate::job::State;
 use crate::step::JobState;
-use crate::worker::{Worker, WorkerIndex};
+use crate::task::{StepRef, Task};
+use crate::worker::{Phase, Worker, WorkerIndex};
 use catkin_types::JobId;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -62,17 +63,55 @@
     pub fn handle_written(&mut self, batch: &[Write], now: Duration) {
         for w in batch {
             match w {
-                Write::Progress(id, _) => {
-                    if let Some(j) = self.jobs.get_mut(id) {
-                        j.durable_version = j.writing_version.take().unwrap_or(j.durable_version);
-                    }
-                }
+                Write::Progress(id, _) => self.record_durable_progress(*id),
                 Write::Ended(id, state) => self.record_durable_end(*id, *state, now),
             }
         }
         self.acknowledge();
     }
 
+    /// Handles rows that the table service refuses for good. Each is written again only after its job has changed. Until
+    /// then the job holds no reservations and starts no tasks, because no start can become durable.
+    pub fn handle_refused(&mut self, writes: &[Write]) {
+        for w in writes {
+            let (Write::Progress(id, _) | Write::Ended(id, _)) = w;
+            let Some(j) = self.jobs.get_mut(id) else { continue };
+            j.writing_version = None;
+            j.write_refused = true;
+            for r in j.step_refs(*id) {
+                self.release_reservations(r);
+                self.update_waiting(r);
+            }
+        }
+    }
+
+    /// Releases the room that is reserved for tasks of a step that were not ordered to start.
+    fn release_reservations(&mut self, r: StepRef) {
+        self.reserved_steps.remove(&r);
+        let Some(step) = self.step(r) else { return };
+        let assigned =
+            (0..).zip(&step.tasks).filter_map(|(i, t)| Some((r.task(i), t.assigned_to?)));
+        let is_reserved = |(task, at): &(Task, WorkerIndex)| {
+            let assignment = self.worker(*at).assignments.get(task);
+            assignment.is_some_and(|a| a.phase == Phase::Reserved)
+        };
+        let reserved: Vec<(Task, WorkerIndex)> = assigned.filter(is_reserved).collect();
+        for (task, at) in reserved {
+            self.worker_mut(at).release(&task);
+            self.clear_worker(task);
+        }
+    }
+
+    fn record_durable_progress(&mut self, id: JobId) {
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        j.durable_version = j.writing_version.take().unwrap_or(j.durable_version);
+        if std::mem::take(&mut j.write_refused) {
+            for r in j.step_refs(id) {
+                self.update_waiting(r);
+            }
+        }
+    }
+
     fn record_durable_end(&mut self, id: JobId, state: State, now: Duration) {
         self.jobs.remove(&id);
         self.ended.insert(id, (state, now));
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -141,6 +141,8 @@
     pub dirty: bool,
     /// The version that is being written.
     pub writing_version: Option<u64>,
+    /// Whether the newest write was refused for good. No task starts until a later one is durable.
+    pub write_refused: bool,
     /// When the job was accepted, on the owner's clock.
     pub accepted_at: Duration,
     /// The job is late from this time on, on the owner's clock.
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -3,5 +3,6 @@
 mod advice;
 mod faults;
 mod owner;
+mod refused;
 mod worker;
 mod world;
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -94,6 +94,10 @@
     /// and before the lease ran out.
     suspect_starts: Vec<(Task, BTreeSet<u32>, usize, String)>,
     cancelled: HashSet<JobId>,
+    /// Jobs whose progress rows the table refuses.
+    pub refused: HashSet<JobId>,
+    /// The number of progress rows that the table refused.
+    pub refusals: usize,
     pub starts: u64,
     /// The number of workers in each request to the adviser.
     pub advice_request_sizes: Vec<usize>,
@@ -142,6 +146,8 @@
             voided: HashSet::new(),
             suspect_starts: Vec::new(),
             cancelled: HashSet::new(),
+            refused: HashSet::new(),
+            refusals: 0,
             starts: 0,
             advice_request_sizes: Vec::new(),
             allow_one_in: 1,
@@ -405,15 +411,19 @@
                     o.cell.handle_advice(&request, advised, now, now);
                 });
             }
-            Event::Written(epoch, batch) => self.write(epoch, &batch),
+            Event::Written(epoch, batch) => self.write(epoch, batch),
         }
     }
 
     /// Applies a batch to the table, which accepts writes of the newest owner only.
-    fn write(&mut self, epoch: Epoch, batch: &[Write]) {
+    fn write(&mut self, epoch: Epoch, batch: Vec<Write>) {
         let now = self.now;
+        let is_refused =
+            |w: &Write| matches!(w, Write::Progress(id, _) if self.refused.contains(id));
+        let (refused, batch): (Vec<_>, Vec<_>) = batch.into_iter().partition(is_refused);
+        self.refusals += refused.len();
         if epoch == self.epoch {
-            for w in batch {
+            for w in &batch {
                 match w {
                     Write::Progress(id, p) => {
                         self.progress.insert(*id, p.clone());
@@ -426,7 +436,8 @@
         self.with_owner(epoch, |owner, out| {
             owner.writing = false;
             if epoch == newest {
-                owner.cell.handle_written(batch, now);
+                owner.cell.handle_written(&batch, now);
+                owner.cell.handle_refused(&refused);
             } else {
                 out.push(Action::StepDown);
             }
--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -46,6 +46,9 @@
         WriteOutcome::NotCommitted | WriteOutcome::NoSuchJob => {
             refused(cx, 503, "the job is not stored")
         }
+        WriteOutcome::Refused => {
+            body::text(413, "the job is larger than the table service allows\n")
+        }
         WriteOutcome::Unknown => body::text(504, "it is not known whether the job is accepted\n"),
     }
 }
@@ -164,7 +167,7 @@
         }
         WriteOutcome::AlreadyDone => body::text(200, "the job is at its end\n"),
         WriteOutcome::NoSuchJob => body::text(410, "no such job\n"),
-        WriteOutcome::NotCommitted | WriteOutcome::Unknown => {
+        WriteOutcome::NotCommitted | WriteOutcome::Refused | WriteOutcome::Unknown => {
             body::text(504, "it is not known whether the job is cancelled\n")
         }
     }
--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -34,6 +34,8 @@
     NoSuchJob,
     /// The write was not carried out, and will not be.
     NotCommitted,
+    /// The table service refuses the write for good. A repeated one would be refused too.
+    Refused,
     /// The write may or may not be carried out.
     Unknown,
 }
@@ -53,6 +55,7 @@
             Self::AlreadyDone => Response::Count(0),
             Self::NoSuchJob => refused(Code::NOT_FOUND),
             Self::NotCommitted => refused(Code::STORE_DOWN),
+            Self::Refused => refused(Code::BODY_TOO_LARGE),
             Self::Unknown => refused(Code::STORE_UNKNOWN),
         }
     }
@@ -66,6 +69,7 @@
             Response::Refused(r) if r.code == Code::NOT_FOUND.number() => Some(Self::NoSuchJob),
             Response::Refused(r) if r.code == Code::NO_OWNER.number() => None,
             Response::Refused(r) if r.code == Code::STORE_UNKNOWN.number() => Some(Self::Unknown),
+            Response::Refused(r) if r.code == Code::BODY_TOO_LARGE.number() => Some(Self::Refused),
             Response::Refused(_) => Some(Self::NotCommitted),
             _ => Some(Self::Unknown),
         }
@@ -178,7 +182,7 @@
     /// Combines this outcome with that of an earlier attempt with an unknown outcome, which may still be carried out
     /// even if this one was refused.
     fn after_unknown(self) -> Self {
-        if self == Self::NotCommitted { Self::Unknown } else { self }
+        if matches!(self, Self::NotCommitted | Self::Refused) { Self::Unknown } else { self }
     }
 }
 
@@ -208,6 +212,10 @@
         match cx.table.commit(&changes, left).await {
             Ok(CommitOutcome::Committed { .. }) => return WriteOutcome::Durable,
             Ok(CommitOutcome::Conflict(rows)) => return outcome_of_conflict(&rows, answer_lost),
+            Err(Error::Refused(e)) => {
+                tracing::warn!(job = format_job(id), "gate: job refused for good: {e}");
+                return WriteOutcome::Refused;
+            }
             Err(Error::NotDone(e)) if !answer_lost => {
                 tracing::debug!(job = format_job(id), "gate: job not stored: {e}");
                 return WriteOutcome::NotCommitted;
--- a/crates/catkin-node/src/leadership/row.rs
+++ b/crates/catkin-node/src/leadership/row.rs
@@ -63,7 +63,7 @@
                 && other.record.incarnation == record.incarnation;
             if same { RowWrite::Applied(other.version) } else { RowWrite::Superseded(other) }
         }
-        Err(Error::NotDone(e)) => {
+        Err(Error::NotDone(e) | Error::Refused(e)) => {
             tracing::debug!("lead: owner row not written: {e}");
             RowWrite::NotConfirmed
         }
--- a/crates/catkin-node/src/metrics/mod.rs
+++ b/crates/catkin-node/src/metrics/mod.rs
@@ -32,6 +32,7 @@
     advice: Histogram,
     orders: Counter,
     takeovers: Counter,
+    rows_refused: Counter,
     cell: Arc<Mutex<CellSnapshot>>,
 }
 
@@ -49,6 +50,7 @@
             advice: instruments.histogram("catkin_advice_seconds", &BUCKETS),
             orders: instruments.counter("catkin_orders"),
             takeovers: instruments.counter("catkin_takeovers"),
+            rows_refused: instruments.counter("catkin_rows_refused"),
             cell: Arc::default(),
             instruments,
         };
@@ -122,6 +124,11 @@
         self.takeovers.add(&[]);
     }
 
+    /// Counts a row that the table service refuses for good.
+    pub fn count_refused_row(&self, table: &str) {
+        self.rows_refused.add(&[("table", table)]);
+    }
+
     /// Replaces the exported snapshot of the cell.
     pub fn set_cell(&self, cell: CellSnapshot) {
         *self.cell.lock().unwrap_or_else(PoisonError::into_inner) = cell;
--- a/crates/catkin-node/src/owner/commits.rs
+++ b/crates/catkin-node/src/owner/commits/mod.rs
@@ -1,15 +1,15 @@
 //! Batched writes of job rows: new jobs, their progress and their ends. Each part has one batch in flight at a time.
 
+mod batch;
+
 use super::{Message, OwnerState};
-use crate::cx::Cx;
 use crate::gate::store::WriteOutcome;
 use crate::table::latency::Latency;
-use crate::table::{self, Head, PART_COUNT, part_of};
-use catkin_cell::{Job, Write};
-use catkin_platform::error::Error;
-use catkin_platform::store::{CommitOutcome, MAX_ENTRIES, Row, Transaction};
+use crate::table::{Head, PART_COUNT, part_of};
+use batch::{Batch, Content};
+use catkin_cell::Job;
+use catkin_platform::store::MAX_ENTRIES;
 use catkin_types::{Epoch, JobId};
-use ractor::ActorRef;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,10 +25,6 @@
 const MAX_QUEUED_SUBMISSIONS: usize = 150;
 /// A new job that can't be written within this time is refused at once: its client would no longer wait.
 const ACCEPT_BUDGET: Duration = Duration::from_secs(2);
-/// The longest timeout of one write.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
-/// The delay before a batch is written again.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// The minimum time between two batches of a part, so that each holds more jobs.
 const BATCH_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -79,13 +75,16 @@
     parts: Vec<Part>,
 }
 
-/// A durable batch.
+/// A batch whose rows are durable, but for those that the table service refuses for good.
 #[derive(Debug)]
 pub struct CommittedBatch {
     part: usize,
+    /// The version of the part's row.
     version: u64,
-    writes: Vec<Write>,
-    submissions: Vec<Submission>,
+    /// The number of transactions on the part in this term, with those of this batch.
+    transactions: u64,
+    durable: Content,
+    refused: Content,
 }
 
 impl Parts {
@@ -159,7 +158,8 @@
             }
             p.write_in_flight = true;
             let head = Head { epoch: self.parts.epoch, writes: p.writes + 1 };
-            let batch = Batch { part, version: p.version, head, writes, submissions };
+            let content = Content { writes, submissions };
+            let batch = Batch::new(part, p.version, head, content);
             let (cx, myself) = (Arc::clone(&self.cx), self.myself.clone());
             self.spawn(async move {
                 let written = batch.write(&cx, &myself).await;
@@ -172,15 +172,17 @@
     pub(super) fn apply_batch(&mut self, committed: CommittedBatch, now: Duration) {
         if let Some(p) = self.parts.parts.get_mut(committed.part) {
             p.version = committed.version;
-            p.writes += 1;
+            p.writes = committed.transactions;
             p.write_in_flight = false;
             p.not_before = now + BATCH_INTERVAL;
-            for s in &committed.submissions {
+            for s in &committed.durable.submissions {
                 p.open.remove(&s.id);
             }
         }
-        self.cell.handle_written(&committed.writes, now);
-        for Submission { id, job, tx, .. } in committed.submissions {
+        self.cell.handle_written(&committed.durable.writes, now);
+        self.cell.handle_refused(&committed.refused.writes);
+        self.settle_submissions(committed.refused.submissions, WriteOutcome::Refused);
+        for Submission { id, job, tx, .. } in committed.durable.submissions {
             self.add(id, job, now);
             // The client may have left.
             let _ = tx.send(WriteOutcome::Durable);
@@ -193,135 +195,3 @@
 pub fn max_queued(latency: Latency) -> usize {
     (latency.writes_within(ACCEPT_BUDGET) * MAX_BATCH_SUBMISSIONS).min(MAX_QUEUED_SUBMISSIONS)
 }
-
-/// The result of one attempt to write a batch.
-enum Attempt {
-    /// The table service answered, or did not.
-    Completed(Result<CommitOutcome, Error>),
-    /// The answer is missing, and the part's row has changed since it was sent.
-    Changed(Row),
-}
-
-/// A batch that is being written.
-struct Batch {
-    part: usize,
-    /// The version of the part's row before the batch.
-    version: u64,
-    /// The part's row after the batch.
-    head: Head,
-    writes: Vec<Write>,
-    submissions: Vec<Submission>,
-}
-
-impl Batch {
-    fn changes(&self, now_ms: u64) -> Transaction {
-        let mut changes =
-            table::batch_changes(self.part, self.version, self.head, &self.writes, now_ms);
-        for n in &self.submissions {
-            let accept = table::accept_changes(n.id, &n.job);
-            changes.expected_versions.extend(accept.expected_versions);
-            changes.put.extend(accept.put);
-        }
-        changes
-    }
-
-    /// Writes the batch, with retries until the result is known. Returns `None` if an owner of a later term exists. The
-    /// expected version of the part's row prevents a write that is carried out late, or twice, from taking effect.
-    async fn write(mut self, cx: &Cx, owner: &ActorRef<Message>) -> Option<CommittedBatch> {
-        let mut answer_lost = false;
-        let mut changes = self.changes(cx.table.clock_ms());
-        loop {
-            match self.attempt(cx, &changes).await {
-                Attempt::Changed(row) => {
-                    let stored_head: Head = table::decode(&row)?;
-                    return (stored_head == self.head).then(|| self.into_committed(row.version));
-                }
-                Attempt::Completed(Ok(CommitOutcome::Committed { version, .. })) => {
-                    return Some(self.into_committed(version));
-                }
-                Attempt::Completed(Ok(CommitOutcome::Conflict(rows))) => {
-                    let row = rows.iter().find(|r| r.key == table::head_key(self.part).key)?;
-                    let stored_head: Head = table::decode(row)?;
-                    if stored_head == self.head {
-                        return Some(self.into_committed(row.version));
-                    }
-                    let duplicates = self.take_duplicates(&rows);
-                    if row.version != self.version || duplicates.is_empty() {
-                        return None;
-                    }
-                    settle(owner, duplicates, WriteOutcome::AlreadyDone);
-                    changes = self.changes(cx.table.clock_ms());
-                }
-                Attempt::Completed(Err(e)) => {
-                    tracing::debug!("owner: writing part {} failed, will retry: {e}", self.part);
-                    let not_done = matches!(e, Error::NotDone(_));
-                    answer_lost |= !not_done;
-                    if not_done && !answer_lost && !self.submissions.is_empty() {
-                        // No attempt was carried out, so the clients can be sent a definite refusal.
-                        let refused = std::mem::take(&mut self.submissions);
-                        settle(owner, refused, WriteOutcome::NotCommitted);
-                        changes = self.changes(cx.table.clock_ms());
-                    }
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Sends the batch once. While its answer is missing, the part's row is read: a slow service gets no second write
-    /// beside the first, and a lost answer is noticed before the timeout.
-    async fn attempt(&self, cx: &Cx, changes: &Transaction) -> Attempt {
-        tokio::select! {
-            outcome = cx.table.commit_patiently(changes, WRITE_TIMEOUT) => {
-                Attempt::Completed(outcome)
-            }
-            row = self.look_for_change(cx) => match row {
-                Some(row) => Attempt::Changed(row),
-                None => Attempt::Completed(Err(Error::Unknown("overdue, and not carried out".into()))),
-            },
-        }
-    }
-
-    /// Reads the part's row until it has changed. Returns `None` once the write is overdue.
-    async fn look_for_change(&self, cx: &Cx) -> Option<Row> {
-        let (key, sent) = (table::head_key(self.part), cx.now());
-        loop {
-            tokio::time::sleep(cx.table.latency().check_delay()).await;
-            let read_at = cx.now();
-            match cx.table.read_one(&key, WRITE_TIMEOUT).await {
-                Ok(Some(row)) if row.version != self.version => return Some(row),
-                Ok(_) => {
-                    let read_time = cx.now().saturating_sub(read_at);
-                    if Latency::is_overdue(read_at.saturating_sub(sent), read_time) {
-                        return None;
-                    }
-                }
-                Err(e) => tracing::debug!("owner: the row of part {} not read: {e}", self.part),
-            }
-        }
-    }
-
-    /// Removes the new jobs that are stored already, and returns them.
-    fn take_duplicates(&mut self, rows: &[Row]) -> Vec<Submission> {
-        let is_stored = |n: &mut Submission| {
-            let key = catkin_types::id::format_job(n.id);
-            rows.iter().any(|r| r.key == key && r.value.is_some())
-        };
-        self.submissions.extract_if(.., is_stored).collect()
-    }
-
-    fn into_committed(self, version: u64) -> CommittedBatch {
-        CommittedBatch {
-            part: self.part,
-            version,
-            writes: self.writes,
-            submissions: self.submissions,
-        }
-    }
-}
-
-/// Tells the owner the outcome of submissions that are no longer part of their batch.
-fn settle(owner: &ActorRef<Message>, submissions: Vec<Submission>, outcome: WriteOutcome) {
-    // An owner that has stopped has dropped the submissions: their outcome is then unknown to their clients.
-    drop(owner.send_message(Message::SubmissionsSettled(submissions, outcome)));
-}
--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -210,8 +210,8 @@
                     tracing::warn!("table: the service rejects calls: {e}");
                 }
             }
-            // The service answered, but the answer can't be used.
-            Err(Error::Malformed(_)) => {}
+            // The service answered, but the answer can't be used, or the call was at fault.
+            Err(Error::Malformed(_) | Error::Refused(_)) => {}
             Err(Error::Unknown(e)) => {
                 if full_wait && is_news {
                     h.latency.record_timeout();
@@ -230,6 +230,7 @@
         Ok(_) => "answered",
         Err(Error::HistoryGone) => "history_gone",
         Err(Error::NotDone(_)) => "declined",
+        Err(Error::Refused(_)) => "refused",
         Err(Error::Malformed(_)) => "malformed",
         Err(Error::Unknown(_)) => "lost",
     }
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -10,4 +10,5 @@
 mod load;
 mod logs;
 mod path;
+mod refused;
 mod restart;
