Gate: a job that leaves no room for its cancellation in its row is refused

Seen by callers (would be): a job whose row is almost 65,536 bytes long is accepted and can never be cancelled: its row grows by 17 bytes, the table refuses it, and every DELETE ends with 504.

The gate now answers 413 at once to a job whose row leaves less than 100 bytes.

--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -6,6 +6,7 @@
 pub mod store;
 
 use crate::cx::Cx;
+use crate::table;
 use bytes::Bytes;
 use catkin_http::body::{self, Body};
 use catkin_platform::client_api;
@@ -91,6 +92,9 @@
             job.queue.clone_from(&found.route.queue);
             job.service.clone_from(&found.route.policy.service);
             job.accepted_ms = cx.table.clock_ms();
+            if !table::fits_row(&job) {
+                return body::text(413, "the job is larger than the table service allows\n");
+            }
             jobs::accept(cx, id, job, deadline).await
         }
         Err(e) => body::text(400, format!("{e}\n")),
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -14,7 +14,7 @@
 pub mod latency;
 
 use catkin_cell::{Progress, State};
-use catkin_platform::store::{Key, Row, Transaction};
+use catkin_platform::store::{Key, MAX_VALUE_BYTES, Row, Transaction};
 use catkin_types::id::format_job;
 use catkin_types::{DaemonId, Epoch, JobId};
 use serde::de::DeserializeOwned;
@@ -71,6 +71,15 @@
 /// The table of jobs that have ended.
 pub const ENDED: &str = "ended";
 
+/// The largest row of a job when it is accepted, in bytes. Its cancellation makes it longer.
+const MAX_JOB_BYTES: usize = MAX_VALUE_BYTES - 100;
+
+/// Returns whether the row of a job fits the table service, also after the job's cancellation.
+#[must_use]
+pub fn fits_row(job: &catkin_cell::Job) -> bool {
+    to_json(job).len() <= MAX_JOB_BYTES
+}
+
 /// Returns the index of the part that holds a job.
 #[must_use]
 pub fn part_of(job: JobId) -> usize {
--- a/tests/node_path/refused.rs
+++ b/tests/node_path/refused.rs
@@ -2,9 +2,15 @@
 
 use crate::deployment::{Deployment, eventually};
 use crate::path::{spec, step, submit_until_accepted};
+use catkin_cell::Job;
+use catkin_cell::job::Step;
+use catkin_node::table::to_json;
 use catkin_platform_standin::Options;
+use catkin_platform_standin::platform::{QUEUE, SERVICE};
 use catkin_types::id::format_job;
 
+/// The largest value of a row of the table service.
+const MAX_ROW_BYTES: usize = 65_536;
 /// Two jobs of one part.
 const REFUSED: u64 = 40;
 const OTHER: u64 = 44;
@@ -53,3 +59,18 @@
     .await;
     d.stop_and_check().await;
 }
+
+/// The row of a cancelled job is longer. A job that filled its row was accepted and could never be cancelled.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_leaves_no_room_for_its_cancellation_is_refused() {
+    let d = Deployment::start("refused-full", 1, &Options::default()).await;
+    let step = Step { count: 1, label: Some(String::new()), ..Step::default() };
+    let (queue, service) = (QUEUE.0.to_owned(), SERVICE.to_owned());
+    let job = Job { queue, service, steps: vec![step], accepted_ms: 999_999, ..Job::default() };
+    let label = "x".repeat(MAX_ROW_BYTES - to_json(&job).len());
+    let to = d.nodes[0].client_addr();
+    let answer = d.client.submit_labelled(to, REFUSED, &label).await;
+    let cancelled = d.client.cancel(to, REFUSED).await;
+    assert_eq!((answer.status, cancelled.status), (Some(413), Some(410)));
+    d.stop_and_check().await;
+}
