Progress: a compact row, and a bound when a job is accepted

Seen by callers (would be): a job with thousands of tasks, of which some fail, or with many occurrences, is accepted, and at some point its progress is larger than a row. From then on none of its starts or ends is durable.

Cause: a row lists the index of each ended task, an object of some 40 bytes for each failed one, the workers of each step, and every step of every occurrence that ever began; MAX_TASKS was meant to bound it and does not.

Evidence: progress_of_thousands_of_tasks_of_which_half_failed_fits_a_row, before: 103089 bytes with steps of 5000 tasks.

Now tasks are ranges of indices, tasks that failed equally often share an entry, a number stands for steps that ended, and workers are named once a job. Rows of earlier versions can be read. Rows with fields that are not known can't: they may change the meaning of the others. A job is refused at once if its progress might not fit 60,000 bytes; one step of 5,000 tasks, 50 steps of 100 or 500 of one are accepted. An occurrence that is due waits until the row has room.

The bound takes eight pairs of (failures, run) a step for granted, and 10,000 bytes for names of workers. Beyond that the table refuses the row, and the job alone stands still.

A daemon of an earlier version can't read the new rows, and takes them for no progress: don't go back to one while jobs run.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -152,6 +152,12 @@
         Some(&self.jobs.get(&id)?.job.queue)
     }
 
+    /// Returns the number of occurrences of a job that have begun, or `None` if the job is not known or its end is durable.
+    #[must_use]
+    pub fn occurrences(&self, id: JobId) -> Option<usize> {
+        Some(self.jobs.get(&id)?.occurrences())
+    }
+
     /// Returns the number of jobs of a queue of which no task has started yet.
     #[must_use]
     pub fn waiting_jobs(&self, queue: &str) -> u64 {
@@ -159,7 +165,8 @@
         self.jobs.values().filter(waits).count() as u64
     }
 
-    /// Begins the occurrences that are due at `wall_ms`, in milliseconds since 1970.
+    /// Begins the occurrences that are due at `wall_ms`, in milliseconds since 1970. One that is due while the earlier
+    /// ones leave no room for its progress in the job's row begins as soon as they do.
     pub fn begin_occurrences(&mut self, wall_ms: u64) {
         let due: Vec<JobId> = self
             .jobs
@@ -171,7 +178,7 @@
             .collect();
         for id in due {
             while let Some(j) = self.jobs.get_mut(&id) {
-                if next_occurrence_ms(j).is_none_or(|t| t > wall_ms) {
+                if next_occurrence_ms(j).is_none_or(|t| t > wall_ms) || !j.may_begin_occurrence() {
                     break;
                 }
                 let new_steps: Vec<StepState> = j.job.steps.iter().map(new_step).collect();
--- a/crates/catkin-cell/src/job/mod.rs
+++ b/crates/catkin-cell/src/job/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs as they are accepted and stored.
 
+use crate::progress::{self, MAX_PROGRESS_BYTES};
 use catkin_types::Resources;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -81,7 +82,7 @@
     pub fills: bool,
 }
 
-/// Upper bound on the tasks of each occurrence of a job, so that its progress fits into one row.
+/// Upper bound on the tasks of each occurrence of a job.
 pub const MAX_TASKS: u64 = 5_000;
 /// Upper bound on the length of the specification, in bytes.
 pub const MAX_SPEC_BYTES: usize = 4_000;
@@ -102,6 +103,9 @@
         if tasks > MAX_TASKS {
             return Err(format!("the job has more than {MAX_TASKS} tasks"));
         }
+        if progress::max_bytes(&self.steps) > MAX_PROGRESS_BYTES {
+            return Err("the job has too many steps and tasks for its progress to be stored".into());
+        }
         for (n, step) in (0u32..).zip(&self.steps) {
             if step.count == 0 {
                 return Err(format!("step {n} has no task"));
--- a/crates/catkin-cell/src/progress/mod.rs
+++ b/crates/catkin-cell/src/progress/mod.rs
@@ -1,31 +1,32 @@
 //! The durable progress of a job: run numbers, ends, failures, and the workers where its tasks may run.
 
+mod ranges;
+mod wire;
+
+use crate::job::Step;
 use catkin_types::WorkerId;
 use serde::{Deserialize, Serialize};
 
 /// The durable progress of a job, with one entry for each step of each occurrence that has begun.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(try_from = "wire::ProgressWire", into = "wire::ProgressWire")]
 pub struct Progress {
     /// Ordered by occurrence, then by step.
     pub steps: Vec<StepProgress>,
 }
 
 /// The durable progress of a step.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct StepProgress {
+    /// Whether all tasks have ended successfully. The other fields are then empty.
+    pub complete: bool,
     /// The tasks that have ended successfully.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<u32>,
     /// The tasks that have failed. Failures of a gang are counted under task 0.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<Failures>,
     /// The highest run number that may have been ordered.
-    #[serde(skip_serializing_if = "is_zero")]
     pub run: u32,
     /// The workers on which tasks may have been started; there are no others.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub on: Vec<WorkerId>,
 }
 
@@ -40,7 +41,32 @@
     pub run: u32,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde requires this signature")]
-fn is_zero(x: &u32) -> bool {
-    *x == 0
+/// The largest stored progress of a job, in bytes. A row of the table service holds 65,536.
+pub const MAX_PROGRESS_BYTES: usize = 60_000;
+
+/// The part of [`MAX_PROGRESS_BYTES`] for the names of workers.
+const WORKERS_BYTES: usize = 10_000;
+/// The bytes of a step beside its tasks and workers.
+const STEP_BYTES: usize = 56;
+/// The bytes of the index of a task.
+const TASK_BYTES: usize = 5;
+/// The bytes of a group of tasks that failed equally often, last in the same run.
+const GROUP_BYTES: usize = 20;
+/// The number of such groups of a step that is expected at most.
+const MAX_GROUPS: usize = 8;
+/// The bytes of a range of workers.
+const WORKER_RANGE_BYTES: usize = 10;
+/// The largest number of ranges of workers of a step.
+const MAX_WORKER_RANGES: usize = 4;
+
+/// Returns the largest size of the stored progress of these steps, in bytes, while they have not ended.
+pub(crate) fn max_bytes<'a>(open_steps: impl IntoIterator<Item = &'a Step>) -> usize {
+    let step_bytes = |step: &Step| {
+        let count = usize::try_from(step.count).unwrap_or(usize::MAX);
+        STEP_BYTES
+            .saturating_add(count.saturating_mul(TASK_BYTES))
+            .saturating_add(count.min(MAX_GROUPS) * GROUP_BYTES)
+            .saturating_add(count.min(MAX_WORKER_RANGES) * WORKER_RANGE_BYTES)
+    };
+    open_steps.into_iter().map(step_bytes).fold(WORKERS_BYTES, usize::saturating_add)
 }
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -1,7 +1,7 @@
 //! The state of a job and its steps at their owner.
 
 use crate::job::{Job, State};
-use crate::progress::{Failures, Progress, StepProgress};
+use crate::progress::{self, Failures, MAX_PROGRESS_BYTES, Progress, StepProgress};
 use crate::task::StepRef;
 use crate::worker::{WorkerIndex, WorkerSet};
 use catkin_types::WorkerId;
@@ -86,6 +86,11 @@
                 t.last_failed_run = f.run;
             }
         }
+        if stored.complete {
+            for t in &mut tasks {
+                t.done = true;
+            }
+        }
         let remaining = tasks.iter().filter(|t| !t.done).count();
         let has_started = stored.run > 0 && remaining < count as usize;
         let unsettled = stored.on.clone();
@@ -103,10 +108,10 @@
     pub(crate) fn to_progress(&self) -> StepProgress {
         let indexed = || (0..).zip(&self.tasks);
         if self.remaining == 0 {
-            let done = indexed().map(|(i, _)| i).collect();
-            return StepProgress { done, ..StepProgress::default() };
+            return StepProgress { complete: true, ..StepProgress::default() };
         }
         StepProgress {
+            complete: false,
             done: indexed().filter(|(_, t)| t.done).map(|(i, _)| i).collect(),
             failed: indexed().filter(|(_, t)| t.failure_count > 0).map(failures).collect(),
             run: self.max_run,
@@ -182,6 +187,13 @@
         step.after.iter().all(ended)
     }
 
+    /// Returns whether the job's row certainly holds the progress of one more occurrence.
+    pub(crate) fn may_begin_occurrence(&self) -> bool {
+        let open = self.job.steps.iter().cycle().zip(&self.steps).filter(|(_, s)| s.remaining > 0);
+        let open_steps = open.map(|(step, _)| step).chain(&self.job.steps);
+        progress::max_bytes(open_steps) <= MAX_PROGRESS_BYTES
+    }
+
     pub(crate) fn to_progress(&self) -> Progress {
         Progress { steps: self.steps.iter().map(StepState::to_progress).collect() }
     }
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod faults;
 mod owner;
+mod progress;
 mod refused;
 mod worker;
 mod world;
