--- a/crates/catkin-cell/tests/cell/world/events.rs
+++ b/crates/catkin-cell/tests/cell/world/events.rs
@@ -129,7 +129,7 @@
                     o.cell.handle_advice(&request, advised, now, now);
                 });
             }
-            Event::Written(epoch, batch) => self.write(epoch, &batch),
+            Event::Written(epoch, batch) => self.write(epoch, batch),
         }
     }
 }
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -62,6 +62,10 @@
     /// and before the lease ran out.
     suspect_starts: Vec<(Task, BTreeSet<u32>, usize, String)>,
     cancelled: HashSet<JobId>,
+    /// Jobs whose progress rows the table refuses.
+    pub refused: HashSet<JobId>,
+    /// The number of progress rows that the table refused.
+    pub refusals: usize,
     pub starts: u64,
     /// The number of workers in each request to the adviser.
     pub advice_request_sizes: Vec<usize>,
@@ -112,6 +116,8 @@
             voided: HashSet::new(),
             suspect_starts: Vec::new(),
             cancelled: HashSet::new(),
+            refused: HashSet::new(),
+            refusals: 0,
             starts: 0,
             advice_request_sizes: Vec::new(),
             allow_one_in: 1,
