Cell: times that follow from a job's estimates and a queue's settings stop at their ends

Callers would see: after one accepted job whose estimates add up to more than 2^64 seconds (a chain of 2,000 steps with the largest estimate; it passes `Job::validate`), no job starts any more. `Duration` panics on overflow in release builds too: `Cell::add` ends the owner's actor, and since the job's row is durable, the same happens to the next owner while it loads its jobs. A queue with a very large stretch does the same through `Duration::mul_f64`.

Cause: the critical path, the objective, the deadline, the bound of lateness and the cost of advice were computed with `+`, `*` and `mul_f64`. They saturate now; a job without a finite objective is late from the start and has no other effect.

Evidence: the test fails before with "overflow when adding durations" (time.rs:1181) and passes now; a second job of the same cell starts. Ruled out: refusing such a job at the gate alone, as rows of jobs that were accepted before are read back without that check.

--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -70,9 +70,10 @@
             (indices_asked().filter(|idx| !step.advised_on.contains(**idx)).count(), rows.len());
         indices_asked().for_each(|idx| step.advised_on.insert(*idx));
         let tickets = step.tickets.get_or_insert_with(HashMap::new);
+        let valid_until = earliest_sent.saturating_add(ticket_lifetime);
         for (id, text) in rows {
             if let Some(idx) = indices.get(&id) {
-                tickets.insert(*idx, Ticket { text, valid_until: earliest_sent + ticket_lifetime });
+                tickets.insert(*idx, Ticket { text, valid_until });
             }
         }
         if fresh == request.workers.len() {
--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -29,7 +29,7 @@
         let accepted_at = now.saturating_sub(age);
         let steps = load_steps(&job, progress);
         let has_started = steps.iter().any(|s| s.has_started);
-        let deadline = accepted_at + self.objective(&job);
+        let deadline = accepted_at.saturating_add(self.objective(&job));
         let mut state = JobState {
             job,
             steps,
@@ -266,7 +266,7 @@
         let Some(q) = self.queues.get(&job.queue) else { return Duration::ZERO };
         let advice = q.advice.map_or(Duration::ZERO, |a| a.cost(OBJECTIVE_ADVICE_WORKERS));
         let chain = critical_paths(&job.steps, advice).into_iter().max().unwrap_or_default();
-        chain.mul_f64(q.stretch.max(0.0)) + q.objective
+        scale(chain, q.stretch).saturating_add(q.objective)
     }
 
     fn advice_cost(&self, queue: &str) -> Duration {
@@ -303,16 +303,21 @@
     (next < u64::from(s.count)).then(|| s.first_ms + next * s.interval_ms)
 }
 
+/// Multiplies a duration. The result stops at zero and at [`Duration::MAX`].
+fn scale(d: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(d.as_secs_f64() * factor.max(0.0)).unwrap_or(Duration::MAX)
+}
+
 /// Returns the longest estimated chain of steps from the start of each step to the end of the job.
 fn critical_paths(steps: &[Step], advice: Duration) -> Vec<Duration> {
-    let mut tails: Vec<Duration> =
-        steps.iter().map(|s| Duration::from_millis(s.estimate_ms) + advice).collect();
+    let own_time = |s: &Step| Duration::from_millis(s.estimate_ms).saturating_add(advice);
+    let mut tails: Vec<Duration> = steps.iter().map(own_time).collect();
     for later in (0..steps.len()).rev() {
         for earlier in &steps[later].after {
             let earlier = *earlier as usize;
             if earlier < later {
-                let own = Duration::from_millis(steps[earlier].estimate_ms) + advice;
-                tails[earlier] = tails[earlier].max(own + tails[later]);
+                let chain = own_time(&steps[earlier]).saturating_add(tails[later]);
+                tails[earlier] = tails[earlier].max(chain);
             }
         }
     }
--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -77,7 +77,7 @@
             workers,
             first: !j.steps.iter().any(|s| s.has_started),
             age: now.saturating_sub(j.accepted_at),
-            slack: j.deadline.saturating_sub(step.critical_path + now),
+            slack: j.deadline.saturating_sub(step.critical_path.saturating_add(now)),
             advice: step.advice_time,
         });
     }
--- a/crates/catkin-cell/src/cell/rank.rs
+++ b/crates/catkin-cell/src/cell/rank.rs
@@ -58,9 +58,10 @@
         let Some(step) = j.step(r) else { return last };
         let latest_start = j.deadline.saturating_sub(step.critical_path);
         let objective = j.deadline.saturating_sub(j.accepted_at);
+        let last_useful_end = j.accepted_at.saturating_add(objective.saturating_mul(LATE_FACTOR));
         let timeliness = if now <= latest_start {
             Timeliness::InTime
-        } else if now + step.critical_path <= j.accepted_at + objective * LATE_FACTOR {
+        } else if now.saturating_add(step.critical_path) <= last_useful_end {
             Timeliness::Late
         } else {
             Timeliness::Expired
--- a/crates/catkin-cell/src/queue/mod.rs
+++ b/crates/catkin-cell/src/queue/mod.rs
@@ -34,6 +34,7 @@
     /// Returns the time that a call about this many workers takes at the adviser.
     #[must_use]
     pub fn cost(&self, workers: usize) -> Duration {
-        self.per_call + self.per_worker * u32::try_from(workers).unwrap_or(u32::MAX)
+        let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+        self.per_call.saturating_add(self.per_worker.saturating_mul(workers))
     }
 }
--- /dev/null
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -0,0 +1,95 @@
+//! Values at the ends of their ranges, in what others write: jobs, reports of workers.
+
+use catkin_cell::action::StoredJob;
+use catkin_cell::cell::AdviceAnswer;
+use catkin_cell::job::{Job, Schedule, Step};
+use catkin_cell::queue::Queue;
+use catkin_cell::worker::{Reply, WorkerInfo, WorkerReport};
+use catkin_cell::{Action, Cell, Options, Task};
+use catkin_types::{JobId, Resources};
+use std::time::Duration;
+
+/// When the owner's term begins.
+pub const START: Duration = Duration::from_secs(100);
+/// The time between two scheduling passes.
+pub const PASS: Duration = Duration::from_millis(200);
+
+/// Answers the actions of the cell: starts and stops are carried out, all workers are suitable.
+pub fn answer(cell: &mut Cell, actions: Vec<Action>, now: Duration) {
+    let mut out = Vec::new();
+    for action in actions {
+        match action {
+            Action::Start(s) => cell.handle_start_reply(&s, Reply::Done, now, &mut out),
+            Action::Stop(s) => cell.handle_stop_reply(&s, Reply::Done, now, &mut out),
+            Action::RequestAdvice(r) => {
+                let rows = r.workers.iter().map(|w| (w.clone(), "t".to_owned())).collect();
+                cell.handle_advice(&r, AdviceAnswer::Eligible(rows), now, now);
+            }
+            Action::Poll(_) | Action::StepDown => {}
+        }
+    }
+}
+
+/// A cell with one worker, which has answered.
+fn cell_with_worker(queue: Queue) -> Cell {
+    let mut cell = Cell::new(Options::default(), 1, START);
+    cell.configure([("q".to_owned(), Queue { service: "s".into(), ..queue })]);
+    let worker = WorkerInfo {
+        id: "w0".into(),
+        service: "s".into(),
+        incarnation: 1,
+        capacity: Resources::new(4_000, 4_000, 0),
+        ..WorkerInfo::default()
+    };
+    cell.update_workers(vec![worker], false, START);
+    report(
+        &mut cell,
+        WorkerReport { clock_ms: 1, incarnation: 1, ..WorkerReport::default() },
+        START,
+    );
+    cell
+}
+
+/// Handles a report of the only worker.
+fn report(cell: &mut Cell, report: WorkerReport, now: Duration) {
+    let workers: Vec<_> = cell.worker_indices().collect();
+    cell.handle_report(workers[0], now, &report, now, &mut Vec::new());
+}
+
+fn add(cell: &mut Cell, id: JobId, steps: Vec<Step>, schedule: Option<Schedule>, age: Duration) {
+    let job = Job { queue: "q".into(), service: "s".into(), steps, schedule, ..Job::default() };
+    assert_eq!(job.validate(), Ok(()));
+    cell.add(id, StoredJob { job, ..StoredJob::default() }, age, START);
+}
+
+/// Runs passes in which all that the cell writes becomes durable. Returns the tasks that were started.
+fn started(cell: &mut Cell) -> Vec<Task> {
+    let mut tasks = Vec::new();
+    for pass in 1..4 {
+        let now = START + PASS * pass;
+        let mut out = Vec::new();
+        cell.tick(now, &mut out);
+        tasks.extend(out.iter().filter_map(|a| match a {
+            Action::Start(s) => Some(s.task),
+            _ => None,
+        }));
+        answer(cell, out, now);
+        let batch = cell.take_writes(|_| true, 100);
+        cell.handle_written(&batch, now);
+    }
+    tasks
+}
+
+#[test]
+fn a_chain_of_long_estimates_does_not_end_the_owner() {
+    let mut cell = cell_with_worker(Queue { stretch: 2.2, ..Queue::default() });
+    let step = |n: u32| Step {
+        count: 1,
+        estimate_ms: u64::MAX,
+        after: n.checked_sub(1).into_iter().collect(),
+        ..Step::default()
+    };
+    add(&mut cell, 1, (0..2_000).map(step).collect(), None, Duration::ZERO);
+    add(&mut cell, 2, vec![Step { count: 1, ..Step::default() }], None, Duration::ZERO);
+    assert_eq!(started(&mut cell).len(), 2);
+}
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner of a cell.
 
 mod advice;
+mod extremes;
 mod faults;
 mod owner;
 mod worker;
