Cell: the work of a late step stops at the largest number

Callers would see: a job with a huge estimate goes before all other late jobs, as its work (processors times estimate times tasks) wraps around in 64 bits; a debug build panics instead. The work saturates now, so that such a step comes last, as it should.

Evidence: the test fails before with "attempt to multiply with overflow" (rank.rs:70) and passes now; its product is 0 modulo 2^64.

--- a/crates/catkin-cell/src/cell/rank.rs
+++ b/crates/catkin-cell/src/cell/rank.rs
@@ -67,7 +67,8 @@
             Timeliness::Expired
         };
         let step_def = j.job.steps.get(r.step as usize);
-        let work = step_def.map_or(0, |k| k.size.cpu_milli * k.estimate_ms * step.remaining as u64);
+        let task_work = step_def.map_or(0, |k| k.size.cpu_milli.saturating_mul(k.estimate_ms));
+        let work = task_work.saturating_mul(step.remaining as u64);
         let urgent = self.queues.get(&j.job.queue).is_some_and(|q| q.priority == 0);
         match timeliness {
             Timeliness::InTime => {
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -93,3 +93,19 @@
     add(&mut cell, 2, vec![Step { count: 1, ..Step::default() }], None, Duration::ZERO);
     assert_eq!(started(&mut cell).len(), 2);
 }
+
+#[test]
+fn a_late_step_with_more_work_than_a_number_holds_comes_last() {
+    let mut cell = cell_with_worker(Queue::default());
+    let step = |estimate_ms| Step {
+        count: 1,
+        size: Resources::new(4_000, 1, 0),
+        estimate_ms,
+        ..Step::default()
+    };
+    // 4,000 times this is 0 in 64 bits.
+    add(&mut cell, 1, vec![step(1 << 63)], None, Duration::from_secs(50));
+    add(&mut cell, 2, vec![step(1_000)], None, Duration::from_secs(50));
+    let tasks = started(&mut cell);
+    assert_eq!(tasks.iter().map(|t| t.step.job).collect::<Vec<_>>(), [2]);
+}
