Cell: an occurrence that is due after the largest time does not begin

Callers would see: a scheduled job with an interval near 2^64 ms has its second and third occurrence begin at once, long before their time, since the due time wraps around in a release build. A debug build panics, which ends the owner's actor. The due time saturates.

Evidence: the test fails before with "attempt to add with overflow" (jobs.rs, `next_occurrence_ms`) and passes now: one occurrence of three begins. The early start in a release build is read from the arithmetic, not played.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -300,7 +300,8 @@
 fn next_occurrence_ms(j: &JobState) -> Option<u64> {
     let s = j.job.schedule?;
     let next = j.occurrences() as u64;
-    (next < u64::from(s.count)).then(|| s.first_ms + next * s.interval_ms)
+    let due = || s.first_ms.saturating_add(next.saturating_mul(s.interval_ms));
+    (next < u64::from(s.count)).then(due)
 }
 
 /// Multiplies a duration. The result stops at zero and at [`Duration::MAX`].
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -109,3 +109,13 @@
     let tasks = started(&mut cell);
     assert_eq!(tasks.iter().map(|t| t.step.job).collect::<Vec<_>>(), [2]);
 }
+
+#[test]
+fn an_occurrence_that_is_due_after_the_largest_time_does_not_begin() {
+    let mut cell = cell_with_worker(Queue::default());
+    let schedule = Schedule { first_ms: 5, interval_ms: u64::MAX, count: 3 };
+    let steps = vec![Step { count: 1, ..Step::default() }];
+    add(&mut cell, 1, steps, Some(schedule), Duration::ZERO);
+    cell.begin_occurrences(10);
+    assert_eq!(started(&mut cell).len(), 1);
+}
