Job: a job with more tasks in all its occurrences than an owner can hold is not accepted

Callers would see: a scheduled job of one task with repeat count 2^32 - 1 and interval 0 is accepted. The owner then makes a step for each occurrence within one scheduling pass, which takes all of its memory and ends the process; the next owner reads the same row. No other job runs. Such a job is now refused, as a job with too many tasks in one occurrence is: 100,000 tasks in all.

Evidence: the test fails before (`validate` accepts the job) and passes now. That the process ends is read from the code, not played. Not done here: the progress of far fewer occurrences (about 5,000 of one task) is larger than a row of the table may be.

--- a/crates/catkin-cell/src/job/mod.rs
+++ b/crates/catkin-cell/src/job/mod.rs
@@ -83,6 +83,8 @@
 
 /// Upper bound on the tasks of each occurrence of a job, so that its progress fits into one row.
 pub const MAX_TASKS: u64 = 5_000;
+/// Upper bound on the tasks of all occurrences of a job, which its owner holds in memory until the job ends.
+pub const MAX_SCHEDULED_TASKS: u64 = 100_000;
 /// Upper bound on the length of the specification, in bytes.
 pub const MAX_SPEC_BYTES: usize = 4_000;
 
@@ -102,6 +104,12 @@
         if tasks > MAX_TASKS {
             return Err(format!("the job has more than {MAX_TASKS} tasks"));
         }
+        let occurrences = self.schedule.map_or(1, |s| u64::from(s.count));
+        if tasks * occurrences > MAX_SCHEDULED_TASKS {
+            let why =
+                format!("the job has more than {MAX_SCHEDULED_TASKS} tasks in all occurrences");
+            return Err(why);
+        }
         for (n, step) in (0u32..).zip(&self.steps) {
             if step.count == 0 {
                 return Err(format!("step {n} has no task"));
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -119,3 +119,11 @@
     cell.begin_occurrences(10);
     assert_eq!(started(&mut cell).len(), 1);
 }
+
+#[test]
+fn a_job_with_more_occurrences_than_can_be_held_is_not_valid() {
+    let schedule = Schedule { first_ms: 0, interval_ms: 0, count: u32::MAX };
+    let steps = vec![Step { count: 1, ..Step::default() }];
+    let job = Job { steps, schedule: Some(schedule), ..Job::default() };
+    assert!(job.validate().is_err());
+}
