Cell: a gang that needs no resources and doesn't fit takes no memory for each time that it would

Callers would see: one accepted gang of a queue with advice, whose tasks need no processors and no memory (or none but processors that are left over) and whose bound per worker keeps it from starting, ends the owner's process: 103 GB are requested at once. Its job is durable, so the next owner ends in the same way, and so on: no job runs any more. A worker with a capacity near 2^64 that the adviser names does the same to any gang that waits.

Cause: `keep_gang_room` made one list element for each time that a member would fit on a worker, 2^32 - 1 times for a demand of zero. A gang never needs more places on a worker than it has waiting members, so each worker gives at most that many; the earliest of them are kept, and the choice is the same.

--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -201,6 +201,9 @@
         pass: &mut Pass,
     ) {
         let demand = step_def.demand();
+        let count = step.waiting().count();
+        // A gang that needs no resources fits any number of times.
+        let max_fit = |free: &Resources| fit_count(free, &demand).min(count as u64);
         let Some(tickets) = &step.tickets else { return };
         // The times at which each worker can take one more member: at once for its free room, then as its tasks end.
         let mut slots: Vec<(Duration, WorkerIndex)> = Vec::new();
@@ -211,16 +214,15 @@
             let mut ends: Vec<_> =
                 w.assignments.values().map(|h| (h.expected_end, h.demand)).collect();
             ends.sort_unstable_by_key(|(at, _)| *at);
-            let mut fitting = fit_count(&free, &demand);
+            let mut fitting = max_fit(&free);
             slots.extend((0..fitting).map(|_| (Duration::ZERO, idx)));
             for (at, size) in ends {
                 free = free.saturating_add(&size);
-                let fitting_then = fit_count(&free, &demand);
+                let fitting_then = max_fit(&free);
                 slots.extend((fitting..fitting_then).map(|_| (at, idx)));
                 fitting = fitting.max(fitting_then);
             }
         }
-        let count = step.waiting().count();
         if slots.len() < count {
             return;
         }
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -3,7 +3,7 @@
 use catkin_cell::action::StoredJob;
 use catkin_cell::cell::AdviceAnswer;
 use catkin_cell::job::{Job, Schedule, Step};
-use catkin_cell::queue::Queue;
+use catkin_cell::queue::{AdviceSettings, Queue};
 use catkin_cell::worker::{Reply, WorkerInfo, WorkerReport};
 use catkin_cell::{Action, Cell, Options, Task};
 use catkin_types::{JobId, Resources};
@@ -142,3 +142,12 @@
     assert!(since.elapsed() < MAX_BEGIN_TIME, "{:?}", since.elapsed());
     assert_eq!(cell.summary(START).steps_waiting, 20_000);
 }
+
+#[test]
+fn a_gang_that_needs_no_resources_and_does_not_fit_takes_no_memory() {
+    let advice = Some(AdviceSettings { ticket_lifetime: PASS, ..AdviceSettings::default() });
+    let mut cell = cell_with_worker(Queue { advice, ..Queue::default() });
+    let gang = Step { count: 2, gang: true, max_per_worker: 1, ..Step::default() };
+    add(&mut cell, 1, vec![gang], None, Duration::ZERO);
+    assert_eq!(started(&mut cell).len(), 0);
+}
