Cell: times on a worker's clock stop at the largest number

Callers would see: after a worker reports a clock near 2^64, the lease that is asked for and the latest time of a start wrap around to a time in its past: its tasks lapse, and starts there are refused as late. A debug build panics, which ends the owner's actor. The sums saturate now. A clock that no worker can have is for the adapter to refuse.

Evidence: the test fails before with "attempt to add with overflow" (worker/mod.rs:246) and passes now.

--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -120,7 +120,7 @@
         let w = self.worker_mut(idx);
         // Requests no further lease from a worker that does not answer, so that its last lease runs out.
         let clock = w.estimated_clock_ms(now).filter(|_| w.missed_polls == 0);
-        let lease_to_ms = clock.map(|clock| clock + lease);
+        let lease_to_ms = clock.map(|clock| clock.saturating_add(lease));
         w.lease_to_ms = w.lease_to_ms.max(lease_to_ms.unwrap_or(0));
         PollParams {
             id: w.info.id.clone(),
@@ -205,7 +205,7 @@
                     .is_some_and(|d| d > stray_period + stray_period / STRAY_MARGIN_DIVISOR);
             };
             let lease_to = w.lease_to_ms.max(w.restarted_at.map_or(0, |_| millis(stray_period)));
-            clock > lease_to + LEASE_MARGIN_MS
+            clock > lease_to.saturating_add(LEASE_MARGIN_MS)
         };
         let unresponsive =
             |w: &Worker| w.missed_polls > 0 && (w.confirmed || !w.assignments.is_empty());
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -235,15 +235,14 @@
     pub(crate) fn min_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
         let elapsed = now.saturating_sub(read_at);
-        Some(
-            clock + millis(elapsed.checked_sub(elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000).unwrap()),
-        )
+        let lag = elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000;
+        Some(clock.saturating_add(millis(elapsed.saturating_sub(lag))))
     }
 
     /// Returns the worker's clock at `now`, assuming that it runs at the same rate as the owner's.
     pub(crate) fn estimated_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
-        Some(clock + millis(now.saturating_sub(read_at)))
+        Some(clock.saturating_add(millis(now.saturating_sub(read_at))))
     }
 
     pub(crate) fn assign(&mut self, task: Task, assignment: Assignment) {
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -151,3 +151,17 @@
     add(&mut cell, 1, vec![gang], None, Duration::ZERO);
     assert_eq!(started(&mut cell).len(), 0);
 }
+
+#[test]
+fn a_worker_clock_at_its_end_does_not_end_the_owner() {
+    let mut cell = cell_with_worker(Queue::default());
+    add(&mut cell, 1, vec![Step { count: 1, ..Step::default() }], None, Duration::ZERO);
+    let last = WorkerReport { clock_ms: u64::MAX, incarnation: 1, ..WorkerReport::default() };
+    report(&mut cell, last, START);
+    assert_eq!(started(&mut cell).len(), 1);
+    let workers: Vec<_> = cell.worker_indices().collect();
+    let params = cell.poll_params(workers[0], START + PASS * 5);
+    assert_eq!(params.lease_to_ms, Some(u64::MAX));
+    cell.handle_missed_poll(workers[0]);
+    cell.tick(START + PASS * 6, &mut Vec::new());
+}
