Cell: the number of a run stops at the largest one

Callers would see: after a worker lists a run with number 2^32 - 1 of an open task, the next start has run 0 in a release build, below the recorded ones: its worker isn't recorded before the start, and the worker refuses it, each time. A debug build panics, which ends the owner's actor. The number saturates: the worker refuses the start, and nothing starts unrecorded.

Evidence: the test fails before with "attempt to add with overflow" (place.rs:317) and passes now. What a release build does is read, not played. Touches place.rs in these two sums only.

--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -314,7 +314,7 @@
             let Some(step) = self.step_mut(r) else { return };
             let t = &mut step.tasks[i as usize];
             t.assigned_to = Some(idx);
-            let run = t.run + 1;
+            let run = t.run.saturating_add(1);
             step.reserved_at = now;
             let assignment = Assignment {
                 run,
@@ -338,7 +338,7 @@
     /// Assigns the same run number to all members of a gang.
     fn align_runs(&mut self, r: StepRef) {
         let Some(step) = self.step_mut(r) else { return };
-        let run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        let run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0).saturating_add(1);
         let members: Vec<(WorkerIndex, Task)> =
             (0..).zip(&step.tasks).filter_map(|(i, t)| Some((t.assigned_to?, r.task(i)))).collect();
         for (idx, task) in members {
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -4,8 +4,8 @@
 use catkin_cell::cell::AdviceAnswer;
 use catkin_cell::job::{Job, Schedule, Step};
 use catkin_cell::queue::{AdviceSettings, Queue};
-use catkin_cell::worker::{Reply, WorkerInfo, WorkerReport};
-use catkin_cell::{Action, Cell, Options, Task};
+use catkin_cell::worker::{EndReason, Reply, TaskEnd, WorkerInfo, WorkerReport};
+use catkin_cell::{Action, Cell, Options, StepRef, Task};
 use catkin_types::{JobId, Resources};
 use std::time::{Duration, Instant};
 
@@ -165,3 +165,18 @@
     cell.handle_missed_poll(workers[0]);
     cell.tick(START + PASS * 6, &mut Vec::new());
 }
+
+#[test]
+fn a_run_with_the_largest_number_does_not_end_the_owner() {
+    let mut cell = cell_with_worker(Queue { max_attempts: 3, ..Queue::default() });
+    add(&mut cell, 1, vec![Step { count: 1, ..Step::default() }], None, Duration::ZERO);
+    let task = StepRef { job: 1, occurrence: 0, step: 0 }.task(0);
+    let reason = EndReason::Failed;
+    let end = TaskEnd { number: 1, task, run: u32::MAX, reason, checkpoint: String::new() };
+    report(
+        &mut cell,
+        WorkerReport { clock_ms: 2, incarnation: 1, ended: vec![end], ..WorkerReport::default() },
+        START,
+    );
+    started(&mut cell);
+}
