Cell: an urgent job that no worker can run doesn't count toward the room kept for urgent tasks

Callers would see: after one job of an urgent queue (priority 0) with absurd `cpu`, no task of another queue starts any more, but for gangs. Each task of those must leave the average size of recent urgent tasks free on its worker; that average took in a sixteenth of the absurd size and falls only as further urgent jobs come. With sizes near 2^64 the average wraps around, and a debug build panics.

Fix: a size that fits no listed worker is not counted, since no room that is left free is enough for it; the sum saturates. A new owner adds the workers before the jobs that it has read, so that their sizes still count.

Evidence: the test fails before, with one job of 2^60 by "left: 0, right: 1" (the other queue's task does not start), with 2^64 - 1 beside it by "attempt to add with overflow" (jobs.rs:68). It passes now.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -60,12 +60,19 @@
         }
     }
 
-    /// Updates the average size of urgent tasks with the first step of a job of an urgent queue.
+    /// Updates the average size of urgent tasks with the first step of a job of an urgent queue. A size that is larger
+    /// than any worker does not count: no room that is left free is enough for it.
     fn update_urgent_size(&mut self, job: &Job) {
         let urgent = self.queues.get(&job.queue).is_some_and(|q| q.priority == 0);
         let Some(size) = job.steps.first().map(Step::demand).filter(|_| urgent) else { return };
+        if !self.workers.iter().any(|w| size.fits(&w.host.capacity)) {
+            return;
+        }
         let (old, new) = (self.urgent_size.as_array(), size.as_array());
-        let mean = |i: usize| (old[i] * (URGENT_SIZE_SAMPLES - 1) + new[i]) / URGENT_SIZE_SAMPLES;
+        let mean = |i: usize| {
+            let sum = old[i].saturating_mul(URGENT_SIZE_SAMPLES - 1).saturating_add(new[i]);
+            sum / URGENT_SIZE_SAMPLES
+        };
         self.urgent_size = Resources::from_array([mean(0), mean(1), mean(2)]);
     }
 
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -180,3 +180,18 @@
     );
     started(&mut cell);
 }
+
+#[test]
+fn an_urgent_job_that_no_worker_can_run_does_not_keep_others_from_their_room() {
+    let mut cell = cell_with_worker(Queue { priority: 1, ..Queue::default() });
+    cell.configure([("urgent".to_owned(), Queue { service: "s".into(), ..Queue::default() })]);
+    for (id, cpu) in [(1, 1 << 60), (2, u64::MAX), (3, u64::MAX)] {
+        let size = Resources::new(cpu, 0, 0);
+        let steps = vec![Step { count: 1, size, ..Step::default() }];
+        let job = Job { queue: "urgent".into(), service: "s".into(), steps, ..Job::default() };
+        cell.add(id, StoredJob { job, ..StoredJob::default() }, Duration::ZERO, START);
+    }
+    let size = Resources::new(1_000, 1_000, 0);
+    add(&mut cell, 4, vec![Step { count: 1, size, ..Step::default() }], None, Duration::ZERO);
+    assert_eq!(started(&mut cell).len(), 1);
+}
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -239,11 +239,11 @@
         if let Some(config) = config {
             self.configure(&config);
         }
+        self.cell.update_workers(initial.workers, false, now);
         for (id, loaded_job) in initial.jobs {
             let age = self.age(loaded_job.job.accepted_ms);
             self.cell.add(id, loaded_job, age, now);
         }
-        self.cell.update_workers(initial.workers, false, now);
         self.follow_config();
         self.follow_workers(initial.workers_version);
         self.follow_jobs(initial.job_versions);
