Cell: a task that needs a whole worker starts on an empty one, whatever room urgent tasks are kept

Callers would see: a task (no gang) of a queue that is not urgent never starts, on an idle cell too, if what it needs and the average size of recent urgent tasks together are larger than each worker. The average doesn't fall when urgent jobs stop coming, so the task waits for as long as the owner's term lasts: accepted, with room for it, and not run.

Cause: each such task must leave the average free on its worker. Now it must leave at most what its worker has beyond the task: on a worker that is large enough for both nothing changes, a smaller one takes the task once it is empty.

Evidence: the test fails before with "left: 0, right: 1" (an idle worker of 4,000, a task of 4,000, one urgent job of 2,000 that was cancelled) and passes now.

--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -176,8 +176,10 @@
         let candidate = |idx: WorkerIndex| {
             let max_tasks = cap.saturating_sub(assigned.get(&idx).copied().unwrap_or(0));
             let kept_for_gangs = pass.gang_room.get(&idx).copied().unwrap_or_default();
-            let free =
-                self.worker(idx).free().saturating_sub(&headroom).saturating_sub(&kept_for_gangs);
+            let w = self.worker(idx);
+            // An empty worker takes the task also if it can't leave that much free.
+            let headroom = headroom.min(&w.host.capacity.saturating_sub(&demand));
+            let free = w.free().saturating_sub(&headroom).saturating_sub(&kept_for_gangs);
             (max_tasks > 0 && demand.fits(&free)).then_some(Candidate { idx, free, max_tasks })
         };
         match (&step.tickets, advice_required) {
@@ -233,8 +235,8 @@
         }
     }
 
-    /// Returns the room that a task of a non-urgent step must leave free on a worker for urgent tasks; gangs leave
-    /// none.
+    /// Returns the room that a task of a non-urgent step must leave free on a worker for urgent tasks, if the worker
+    /// is large enough for both; gangs leave none.
     fn urgent_headroom(&self, r: StepRef, step_def: &Step) -> Resources {
         let queue = self.jobs.get(&r.job).and_then(|j| self.queues.get(&j.job.queue));
         let urgent = queue.is_none_or(|q| q.priority == 0);
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -195,3 +195,15 @@
     add(&mut cell, 4, vec![Step { count: 1, size, ..Step::default() }], None, Duration::ZERO);
     assert_eq!(started(&mut cell).len(), 1);
 }
+
+#[test]
+fn a_task_that_needs_a_whole_worker_starts_on_an_empty_one_after_urgent_work() {
+    let mut cell = cell_with_worker(Queue { priority: 1, ..Queue::default() });
+    cell.configure([("urgent".to_owned(), Queue { service: "s".into(), ..Queue::default() })]);
+    let step = |cpu| Step { count: 1, size: Resources::new(cpu, 100, 0), ..Step::default() };
+    let job = Job { queue: "urgent".into(), steps: vec![step(2_000)], ..Job::default() };
+    cell.add(1, StoredJob { job, ..StoredJob::default() }, Duration::ZERO, START);
+    cell.cancel(1, &mut Vec::new());
+    add(&mut cell, 2, vec![step(4_000)], None, Duration::ZERO);
+    assert_eq!(started(&mut cell).len(), 1);
+}
