Cell: no values at the ends of their ranges make the owner panic

A property test of 4,000 cells with fixed seeds: capacities and incarnations of workers, clocks, runs and ends in their reports, estimates, sizes and schedules of jobs, settings of queues, and stored progress are drawn from the ends of their ranges. Three sums that it found, or that stand beside one, saturate now: the count of a task's failures (read from stored progress), the processors kept for gangs, and the room on workers that may run a step. A debug build panicked there; a release build counted anew from 0, so that a task could fail more often than its queue allows, or showed too little room.

Evidence: the test fails before with "attempt to add with overflow" in polls.rs:198, then in place.rs:61, and passes now. The third sum (advice.rs) is read, not found by the test. place.rs and advice.rs are touched in these sums only.

--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -104,7 +104,8 @@
             if step_def.max_per_worker > 0 { u64::from(step_def.max_per_worker) } else { u64::MAX };
         let free = |idx: WorkerIndex| fit_count(&self.worker(idx).free(), &demand).min(cap);
         let advised = step.tickets.iter().flat_map(HashMap::keys).copied();
-        let known: u64 = advised.filter(|idx| eligible.contains(*idx)).map(free).sum();
+        let known = advised.filter(|idx| eligible.contains(*idx)).map(free);
+        let known = known.fold(0, u64::saturating_add);
         let mut needed = as_f64(step.remaining as u64) * ROOM_FACTOR - as_f64(known);
         let first = step.tickets.is_none();
         let fresh = eligible.iter().filter(|idx| !step.advised_on.contains(*idx));
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -58,7 +58,8 @@
         for (_, r) in order {
             self.schedule_step(r, &mut pass, now, out);
         }
-        self.cpu_kept_milli = pass.gang_room.values().map(|kept| kept.cpu_milli).sum();
+        let kept = pass.gang_room.values().map(|kept| kept.cpu_milli);
+        self.cpu_kept_milli = kept.fold(0, u64::saturating_add);
         let reserved: Vec<StepRef> = self.reserved_steps.iter().copied().collect();
         for r in reserved {
             self.launch(r, now, out);
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -195,7 +195,7 @@
             // may have counted a failure that it did not acknowledge.
             if t.last_failed_run < run {
                 t.last_failed_run = run;
-                t.failure_count += 1;
+                t.failure_count = t.failure_count.saturating_add(1);
             }
             failures = t.failure_count;
         }
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner of a cell.
 
 mod advice;
+mod any_values;
 mod extremes;
 mod faults;
 mod owner;
