Worker list: an entry with an address, capacity, start or texts that no worker has names no worker

Callers would see: an odd entry of another writer, such as one with port 65536 or with a path behind the port, was taken as a worker. Its address was called four times a second for ever, where the HTTP client made something of it (an address of the platform's own, say); a capacity near 2^64 went into the cell's sums, and a start time near 2^64 made every true report of that id count as older.

Fix, in the adapter: an address is an IP address with a port from 1; amounts are at most 2^40, the start time at most that of the year 10,000, texts at most 200 bytes, labels at most 100; `born` of another type is no longer read as absent. The parser says why an entry is unusable. The daemon logs that once for each entry and reason, not with each reading of the list; before, nothing was logged.

The tests that compared with `None` compare the same entries with `.ok()` and `None`; the check is as strict.

--- a/crates/catkin-node/src/leadership/load.rs
+++ b/crates/catkin-node/src/leadership/load.rs
@@ -2,6 +2,7 @@
 
 use crate::cx::Cx;
 use crate::table::{self, Head, PART_COUNT};
+use crate::worker_entries::WorkerEntries;
 use catkin_cell::action::StoredJob;
 use catkin_cell::worker::WorkerInfo;
 use catkin_cell::{Job, Progress};
@@ -30,6 +31,8 @@
     pub head_versions: Vec<u64>,
     /// The workers that are listed.
     pub workers: Vec<WorkerInfo>,
+    /// What is known of the entries of the list.
+    pub worker_entries: WorkerEntries,
     /// The version at which the jobs of each part were read, by the index of the part. Later changes are new.
     pub job_versions: Vec<u64>,
     /// The version at which the list of workers was read. Later changes are new.
@@ -44,7 +47,9 @@
     let parts = try_join_all((0..PART_COUNT).map(|part| load_part(cx, part, epoch)));
     let (parts, workers) = futures::try_join!(parts, read_all(cx, worker_list::TABLE, ""))?;
     let mut initial = InitialState { workers_version: workers.1, ..InitialState::default() };
-    initial.workers = workers.0.iter().filter_map(parse_worker).collect();
+    let listed = initial.worker_entries.read(&workers.0);
+    listed.log_unusable();
+    initial.workers = listed.workers;
     initial.head_versions = parts.iter().map(|p| p.head_version).collect();
     let (jobs, progress): (Vec<_>, Vec<_>) =
         parts.into_iter().map(|p| (p.jobs, p.progress)).unzip();
@@ -81,12 +86,6 @@
     Ok(Part { head_version, jobs, progress })
 }
 
-/// Parses a row of the list of workers. Returns `None` if the row was removed or can't be parsed.
-#[must_use]
-pub fn parse_worker(row: &Row) -> Option<WorkerInfo> {
-    worker_list::parse_entry(&row.key, row.value.as_ref()?)
-}
-
 /// Writes the term to the [`Head`] row of a part, which makes writes of earlier terms fail. Returns the row's version.
 async fn claim_part(cx: &Cx, part: usize, epoch: Epoch) -> Result<u64, Error> {
     let key = table::head_key(part);
--- a/crates/catkin-node/src/lib.rs
+++ b/crates/catkin-node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod settings;
 pub mod table;
+pub mod worker_entries;
 
 pub use cx::Cx;
 pub use error::Error;
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -5,6 +5,7 @@
 use crate::cx::Cx;
 use crate::leadership::load;
 use crate::table::{self, JOBS, PART_COUNT};
+use crate::worker_entries::{ListUpdate, WorkerEntries};
 use catkin_cell::Job;
 use catkin_platform::error::Error;
 use catkin_platform::store::Row;
@@ -36,7 +37,7 @@
         });
     }
 
-    pub(super) fn follow_workers(&self, after: u64) {
+    pub(super) fn follow_workers(&self, after: u64, mut entries: WorkerEntries) {
         let (cx, myself) = (Arc::clone(&self.cx), self.myself.clone());
         self.spawn(async move {
             let mut after = after;
@@ -45,14 +46,14 @@
                 match cx.table.changes(worker_list::TABLE, after, Duration::ZERO).await {
                     Ok(rows) => {
                         after = after.max(rows.version);
-                        send_workers(&myself, &rows.rows, false);
+                        send_workers(&myself, entries.read(&rows.rows), false);
                     }
                     Err(Error::HistoryGone) => {
                         if let Ok((rows, version)) =
                             load::read_all(&cx, worker_list::TABLE, "").await
                         {
                             after = version;
-                            send_workers(&myself, &rows, true);
+                            send_workers(&myself, entries.read(&rows), true);
                         }
                     }
                     Err(e) => tracing::debug!("owner: worker changes not read, will retry: {e}"),
@@ -100,10 +101,9 @@
     }
 }
 
-fn send_workers(myself: &ActorRef<Message>, rows: &[Row], complete: bool) {
-    let workers: Vec<_> = rows.iter().filter_map(load::parse_worker).collect();
-    let is_removed = |r: &&Row| load::parse_worker(r).is_none();
-    let removed = rows.iter().filter(is_removed).map(|r| r.key.clone()).collect();
+fn send_workers(myself: &ActorRef<Message>, update: ListUpdate, complete: bool) {
+    update.log_unusable();
+    let ListUpdate { workers, removed, .. } = update;
     drop(myself.send_message(Message::WorkerList { workers, removed, complete }));
 }
 
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -245,7 +245,7 @@
             self.cell.add(id, loaded_job, age, now);
         }
         self.follow_config();
-        self.follow_workers(initial.workers_version);
+        self.follow_workers(initial.workers_version, initial.worker_entries);
         self.follow_jobs(initial.job_versions);
         let myself = self.myself.clone();
         self.spawn(async move {
--- a/crates/catkin-node/tests/node/main.rs
+++ b/crates/catkin-node/tests/node/main.rs
@@ -10,3 +10,4 @@
 mod refusal;
 mod settings;
 mod watch;
+mod worker_entries;
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -9,5 +9,6 @@
 mod deployment;
 mod load;
 mod logs;
+mod odd_entries;
 mod path;
 mod restart;
