Leadership: a daemon whose owner has ended by a panic releases the cell

Callers would see: after any panic in the owner's actor no job starts or is shown any more, on any daemon, for as long as that daemon lives: it renews the owner's row and answers heartbeats as the owner, and all requests go to an actor that has ended. A panic while the owner takes over the jobs that it has read ends the leadership task itself (`unreachable!` on the failed start); each daemon in turn then never competes for the cell again.

Cause: the runtime catches the panic and ends the actor; nothing waited for that. The owner's handle now has a token that is cancelled when the actor ends by itself; leadership releases the row at once, so that another daemon takes over first, and logs an error. A failed start is handled in the same way.

Evidence: the test makes the actor panic (a reply of a poll of a worker that does not exist). Without the token being cancelled it fails after 10 s with "the end of the owner is not noticed"; it passes now. The release after a failed start is read, not played.

--- a/crates/catkin-node/src/leadership/mod.rs
+++ b/crates/catkin-node/src/leadership/mod.rs
@@ -270,7 +270,13 @@
         }
     };
     confirm_term(cx);
-    let owner = Owner::start(Arc::clone(cx), epoch, loaded).await;
+    let owner = match Owner::start(Arc::clone(cx), epoch, loaded).await {
+        Ok(owner) => owner,
+        Err(e) => {
+            tracing::error!(epoch, "lead: releasing the cell, its owner did not start: {e}");
+            return row::release(cx, current).await;
+        }
+    };
     cx.owner.send_replace(Some(owner.clone()));
     cx.set_owner_healthy(true);
     announce(cx, &owner, &current.record);
@@ -284,6 +290,10 @@
                 tracing::info!(epoch, "lead: an owner of a later term exists");
                 break OwnerRow::default();
             }
+            () = owner.failed() => {
+                tracing::error!(epoch, "lead: releasing the cell, its owner has ended by itself");
+                break row::release(cx, current).await;
+            }
         }
         if cx.is_draining() {
             break row::release(cx, current).await;
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -19,7 +19,7 @@
 use catkin_types::{Epoch, JobId, WorkerId};
 use commits::{Parts, Submission};
 use polls::Polls;
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,14 +82,24 @@
 pub struct Owner {
     actor: ActorRef<Message>,
     superseded: CancellationToken,
+    /// Cancelled when the actor ends without [`stop`], by a panic.
+    failed: CancellationToken,
     tasks: TaskTracker,
     stop: CancellationToken,
 }
 
 impl Owner {
     /// Starts the owner actor for the term `epoch`.
-    pub async fn start(cx: Arc<Cx>, epoch: Epoch, initial: load::InitialState) -> Self {
+    ///
+    /// # Errors
+    /// The actor ended while it took over what was read.
+    pub async fn start(
+        cx: Arc<Cx>,
+        epoch: Epoch,
+        initial: load::InitialState,
+    ) -> Result<Self, SpawnErr> {
         let superseded = CancellationToken::new();
+        let failed = CancellationToken::new();
         let stop = CancellationToken::new();
         let tasks = TaskTracker::new();
         let args = Args {
@@ -100,10 +110,18 @@
             tasks: tasks.clone(),
             stop: stop.clone(),
         };
-        let (actor, _) = Actor::spawn(None, OwnerActor, args).await.unwrap_or_else(|e| {
-            unreachable!("`pre_start` of the owner always succeeds: {e}");
+        let (actor, ended) = Actor::spawn(None, OwnerActor, args).await?;
+        let on_end = failed.clone();
+        spawn_until(&tasks, &stop, async move {
+            drop(ended.await);
+            on_end.cancel();
         });
-        Self { actor, superseded, tasks, stop }
+        Ok(Self { actor, superseded, failed, tasks, stop })
+    }
+
+    /// Returns once the actor has ended by itself. It carries out nothing any more.
+    pub async fn failed(&self) {
+        self.failed.cancelled().await;
     }
 
     /// Returns once an owner of a later term was detected.
--- a/crates/catkin-node/tests/node/main.rs
+++ b/crates/catkin-node/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod jobs;
 mod latency;
+mod owner;
 mod refusal;
 mod settings;
 mod watch;
