Cell: a worker that states an earlier start than the known one is heard

Callers would see: after an executor starts again while its machine's clock has gone back, or while its entry in the list states a later start than it says itself, each of its reports counts as that of an earlier life and is ignored, for the rest of the owner's term. Its tasks are never known to end, and its ends are never acknowledged; jobs with a task there can't complete.

Cause: lives were told apart by the order of their start times, which are times of the executors' clocks. Fix: a report of another life than the known one counts if its poll was sent after that one became known, by the owner's own clock. Only the present life, or a later one, answers such a poll; an answer that was under way since before is ignored in both directions. An entry of the list means a restart only when the start that it states changes, so that a wrong one does not undo what the worker says.

Evidence: two of the three tests fail before (reports not taken note of) and pass now; the third pins that a late answer of an earlier life is still ignored.

--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -34,10 +34,14 @@
     ) {
         let w = self.worker_mut(idx);
         if report.incarnation != 0 && report.incarnation != w.info.incarnation {
-            if w.info.incarnation > report.incarnation {
+            // The answer of an earlier incarnation may arrive late. To a poll that was sent after the known one became
+            // known, only that one or a later one answers, whatever start times they state: a clock may have gone
+            // back, or the entry in the list be wrong.
+            if w.info.incarnation != 0 && sent <= w.incarnation_known_at {
                 return;
             }
             self.restart_worker(idx, report.incarnation);
+            self.worker_mut(idx).incarnation_known_at = now;
         }
         let w = self.worker_mut(idx);
         // Answers that arrive over different connections may be out of order: ignores the older one.
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -37,7 +37,7 @@
         let mut present: Vec<WorkerId> = Vec::with_capacity(listed.len());
         for entry in listed {
             present.push(entry.id.clone());
-            self.update_worker(entry);
+            self.update_worker(entry, now);
         }
         if partial {
             return;
@@ -50,7 +50,7 @@
         }
     }
 
-    fn update_worker(&mut self, entry: WorkerInfo) {
+    fn update_worker(&mut self, entry: WorkerInfo, now: Duration) {
         let idx = if let Some(idx) = self.indices.get(&entry.id) {
             *idx
         } else {
@@ -61,13 +61,21 @@
         };
         let w = self.worker_mut(idx);
         let known_incarnation = w.info.incarnation;
-        let incarnation =
-            if known_incarnation == 0 { entry.incarnation } else { known_incarnation };
-        let restarted = known_incarnation != 0 && entry.incarnation > known_incarnation;
         let listed_incarnation = entry.incarnation;
+        let incarnation =
+            if known_incarnation == 0 { listed_incarnation } else { known_incarnation };
+        // The worker itself may have contradicted what its entry said before.
+        let newly_listed = w.listed_incarnation != listed_incarnation;
+        let restarted =
+            newly_listed && known_incarnation != 0 && listed_incarnation > known_incarnation;
+        w.listed_incarnation = listed_incarnation;
+        if known_incarnation == 0 {
+            w.incarnation_known_at = now;
+        }
         w.update_info(WorkerInfo { incarnation, ..entry });
         if restarted {
             self.restart_worker(idx, listed_incarnation);
+            self.worker_mut(idx).incarnation_known_at = now;
         }
     }
 
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -200,6 +200,10 @@
     pub info: WorkerInfo,
     /// The capacity and the reserved resources.
     pub host: Host,
+    /// The incarnation in the worker's entry in the list; 0 if the entry states none.
+    pub listed_incarnation: Incarnation,
+    /// When the known incarnation became known.
+    pub incarnation_known_at: Duration,
     pub missing_since: Option<Duration>,
     /// Whether the worker has answered a poll of this owner in its current incarnation.
     pub confirmed: bool,
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod any_values;
 mod extremes;
 mod faults;
+mod incarnation;
 mod owner;
 mod worker;
 mod world;
