Cell: a stored job that is scheduled and has no step does not block the owner

Callers would see: with such a row in the table of jobs, the owner never leaves its first scheduling pass: the occurrences that have begun are counted by steps, so none ever counts as begun. Such a job has no occurrence now.

Evidence: the test does not end within 10 s before (stopped by `timeout`, status 124) and passes now.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -301,7 +301,7 @@
 
 /// Returns when the next occurrence is due, in milliseconds since 1970, or `None` after the last one.
 fn next_occurrence_ms(j: &JobState) -> Option<u64> {
-    let s = j.job.schedule?;
+    let s = j.job.schedule.filter(|_| !j.job.steps.is_empty())?;
     let next = j.occurrences() as u64;
     let due = || s.first_ms.saturating_add(next.saturating_mul(s.interval_ms));
     (next < u64::from(s.count)).then(due)
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -207,3 +207,13 @@
     add(&mut cell, 2, vec![step(4_000)], None, Duration::ZERO);
     assert_eq!(started(&mut cell).len(), 1);
 }
+
+#[test]
+fn a_stored_job_without_steps_that_is_scheduled_does_not_block_the_owner() {
+    let mut cell = cell_with_worker(Queue::default());
+    let schedule = Some(Schedule { first_ms: 0, interval_ms: 1, count: 2 });
+    let job = Job { queue: "q".into(), schedule, ..Job::default() };
+    cell.add(1, StoredJob { job, ..StoredJob::default() }, Duration::ZERO, START);
+    cell.begin_occurrences(10);
+    assert_eq!(cell.summary(START).steps_waiting, 0);
+}
