--- a/crates/catkin-cell/tests/cell/any_values.rs
+++ b/crates/catkin-cell/tests/cell/any_values.rs
@@ -171,7 +171,7 @@
                     let clock_ms = u64::from(pass) * 200;
                     let incarnation = worker.incarnation;
                     let report = WorkerReport { clock_ms, incarnation, ..WorkerReport::default() };
-                    cell.handle_report(idx, now - PASS, &report, now, &mut out);
+                    cell.handle_report(idx, now.saturating_sub(PASS), &report, now, &mut out);
                 }
             }
         }
--- a/crates/catkin-cell/tests/cell/extremes.rs
+++ b/crates/catkin-cell/tests/cell/extremes.rs
@@ -31,9 +31,9 @@
 }
 
 /// A cell with one worker, which has answered.
-fn cell_with_worker(queue: Queue) -> Cell {
+fn cell_with_worker(queue: &Queue) -> Cell {
     let mut cell = Cell::new(Options::default(), 1, START);
-    cell.configure([("q".to_owned(), Queue { service: "s".into(), ..queue })]);
+    cell.configure([("q".to_owned(), Queue { service: "s".into(), ..queue.clone() })]);
     let worker = WorkerInfo {
         id: "w0".into(),
         service: "s".into(),
@@ -44,16 +44,16 @@
     cell.update_workers(vec![worker], false, START);
     report(
         &mut cell,
-        WorkerReport { clock_ms: 1, incarnation: 1, ..WorkerReport::default() },
+        &WorkerReport { clock_ms: 1, incarnation: 1, ..WorkerReport::default() },
         START,
     );
     cell
 }
 
 /// Handles a report of the only worker.
-fn report(cell: &mut Cell, report: WorkerReport, now: Duration) {
+fn report(cell: &mut Cell, report: &WorkerReport, now: Duration) {
     let workers: Vec<_> = cell.worker_indices().collect();
-    cell.handle_report(workers[0], now, &report, now, &mut Vec::new());
+    cell.handle_report(workers[0], now, report, now, &mut Vec::new());
 }
 
 fn add(cell: &mut Cell, id: JobId, steps: Vec<Step>, schedule: Option<Schedule>, age: Duration) {
@@ -82,7 +82,7 @@
 
 #[test]
 fn a_chain_of_long_estimates_does_not_end_the_owner() {
-    let mut cell = cell_with_worker(Queue { stretch: 2.2, ..Queue::default() });
+    let mut cell = cell_with_worker(&Queue { stretch: 2.2, ..Queue::default() });
     let step = |n: u32| Step {
         count: 1,
         estimate_ms: u64::MAX,
@@ -96,7 +96,7 @@
 
 #[test]
 fn a_late_step_with_more_work_than_a_number_holds_comes_last() {
-    let mut cell = cell_with_worker(Queue::default());
+    let mut cell = cell_with_worker(&Queue::default());
     let step = |estimate_ms| Step {
         count: 1,
         size: Resources::new(4_000, 1, 0),
@@ -112,7 +112,7 @@
 
 #[test]
 fn an_occurrence_that_is_due_after_the_largest_time_does_not_begin() {
-    let mut cell = cell_with_worker(Queue::default());
+    let mut cell = cell_with_worker(&Queue::default());
     let schedule = Schedule { first_ms: 5, interval_ms: u64::MAX, count: 3 };
     let steps = vec![Step { count: 1, ..Step::default() }];
     add(&mut cell, 1, steps, Some(schedule), Duration::ZERO);
@@ -133,7 +133,7 @@
 
 #[test]
 fn occurrences_that_are_all_due_at_once_do_not_block_the_owner() {
-    let mut cell = cell_with_worker(Queue::default());
+    let mut cell = cell_with_worker(&Queue::default());
     let schedule = Schedule { first_ms: 0, interval_ms: 0, count: 20_000 };
     let steps = vec![Step { count: 1, ..Step::default() }];
     add(&mut cell, 1, steps, Some(schedule), Duration::ZERO);
@@ -146,7 +146,7 @@
 #[test]
 fn a_gang_that_needs_no_resources_and_does_not_fit_takes_no_memory() {
     let advice = Some(AdviceSettings { ticket_lifetime: PASS, ..AdviceSettings::default() });
-    let mut cell = cell_with_worker(Queue { advice, ..Queue::default() });
+    let mut cell = cell_with_worker(&Queue { advice, ..Queue::default() });
     let gang = Step { count: 2, gang: true, max_per_worker: 1, ..Step::default() };
     add(&mut cell, 1, vec![gang], None, Duration::ZERO);
     assert_eq!(started(&mut cell).len(), 0);
@@ -154,10 +154,10 @@
 
 #[test]
 fn a_worker_clock_at_its_end_does_not_end_the_owner() {
-    let mut cell = cell_with_worker(Queue::default());
+    let mut cell = cell_with_worker(&Queue::default());
     add(&mut cell, 1, vec![Step { count: 1, ..Step::default() }], None, Duration::ZERO);
     let last = WorkerReport { clock_ms: u64::MAX, incarnation: 1, ..WorkerReport::default() };
-    report(&mut cell, last, START);
+    report(&mut cell, &last, START);
     assert_eq!(started(&mut cell).len(), 1);
     let workers: Vec<_> = cell.worker_indices().collect();
     let params = cell.poll_params(workers[0], START + PASS * 5);
@@ -168,14 +168,14 @@
 
 #[test]
 fn a_run_with_the_largest_number_does_not_end_the_owner() {
-    let mut cell = cell_with_worker(Queue { max_attempts: 3, ..Queue::default() });
+    let mut cell = cell_with_worker(&Queue { max_attempts: 3, ..Queue::default() });
     add(&mut cell, 1, vec![Step { count: 1, ..Step::default() }], None, Duration::ZERO);
     let task = StepRef { job: 1, occurrence: 0, step: 0 }.task(0);
     let reason = EndReason::Failed;
     let end = TaskEnd { number: 1, task, run: u32::MAX, reason, checkpoint: String::new() };
     report(
         &mut cell,
-        WorkerReport { clock_ms: 2, incarnation: 1, ended: vec![end], ..WorkerReport::default() },
+        &WorkerReport { clock_ms: 2, incarnation: 1, ended: vec![end], ..WorkerReport::default() },
         START,
     );
     started(&mut cell);
@@ -183,7 +183,7 @@
 
 #[test]
 fn an_urgent_job_that_no_worker_can_run_does_not_keep_others_from_their_room() {
-    let mut cell = cell_with_worker(Queue { priority: 1, ..Queue::default() });
+    let mut cell = cell_with_worker(&Queue { priority: 1, ..Queue::default() });
     cell.configure([("urgent".to_owned(), Queue { service: "s".into(), ..Queue::default() })]);
     for (id, cpu) in [(1, 1 << 60), (2, u64::MAX), (3, u64::MAX)] {
         let size = Resources::new(cpu, 0, 0);
@@ -198,7 +198,7 @@
 
 #[test]
 fn a_task_that_needs_a_whole_worker_starts_on_an_empty_one_after_urgent_work() {
-    let mut cell = cell_with_worker(Queue { priority: 1, ..Queue::default() });
+    let mut cell = cell_with_worker(&Queue { priority: 1, ..Queue::default() });
     cell.configure([("urgent".to_owned(), Queue { service: "s".into(), ..Queue::default() })]);
     let step = |cpu| Step { count: 1, size: Resources::new(cpu, 100, 0), ..Step::default() };
     let job = Job { queue: "urgent".into(), steps: vec![step(2_000)], ..Job::default() };
@@ -210,7 +210,7 @@
 
 #[test]
 fn a_stored_job_without_steps_that_is_scheduled_does_not_block_the_owner() {
-    let mut cell = cell_with_worker(Queue::default());
+    let mut cell = cell_with_worker(&Queue::default());
     let schedule = Some(Schedule { first_ms: 0, interval_ms: 1, count: 2 });
     let job = Job { queue: "q".into(), schedule, ..Job::default() };
     cell.add(1, StoredJob { job, ..StoredJob::default() }, Duration::ZERO, START);
