--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -106,8 +106,7 @@
 /// Returns how long the client waits for the response, from its header or the default.
 fn client_timeout<B>(req: &Request<B>) -> Duration {
     let header = req.headers().get(client_api::DEADLINE_HEADER).and_then(|h| h.to_str().ok());
-    let ms = header.and_then(|h| h.trim().parse::<f64>().ok()).filter(|ms| *ms > 0.0);
-    ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok()).unwrap_or(DEFAULT_TIMEOUT)
+    header.and_then(client_api::parse_deadline).unwrap_or(DEFAULT_TIMEOUT)
 }
 
 /// Returns the response to a request that was not carried out and may be retried.
