--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -29,7 +29,7 @@
         let accepted_at = now.saturating_sub(age);
         let steps = load_steps(&job, progress);
         let has_started = steps.iter().any(|s| s.has_started);
-        let deadline = accepted_at + self.objective(&job);
+        let deadline = accepted_at.saturating_add(self.objective(&job));
         let mut state = JobState {
             job,
             steps,
@@ -61,12 +61,19 @@
         }
     }
 
-    /// Updates the average size of urgent tasks with the first step of a job of an urgent queue.
+    /// Updates the average size of urgent tasks with the first step of a job of an urgent queue. A size that is larger
+    /// than any worker does not count: no room that is left free is enough for it.
     fn update_urgent_size(&mut self, job: &Job) {
         let urgent = self.queues.get(&job.queue).is_some_and(|q| q.priority == 0);
         let Some(size) = job.steps.first().map(Step::demand).filter(|_| urgent) else { return };
+        if !self.workers.iter().any(|w| size.fits(&w.host.capacity)) {
+            return;
+        }
         let (old, new) = (self.urgent_size.as_array(), size.as_array());
-        let mean = |i: usize| (old[i] * (URGENT_SIZE_SAMPLES - 1) + new[i]) / URGENT_SIZE_SAMPLES;
+        let mean = |i: usize| {
+            let sum = old[i].saturating_mul(URGENT_SIZE_SAMPLES - 1).saturating_add(new[i]);
+            sum / URGENT_SIZE_SAMPLES
+        };
         self.urgent_size = Resources::from_array([mean(0), mean(1), mean(2)]);
     }
 
@@ -177,18 +184,14 @@
             .map(|(id, _)| *id)
             .collect();
         for id in due {
-            while let Some(j) = self.jobs.get_mut(&id) {
-                if next_occurrence_ms(j).is_none_or(|t| t > wall_ms) || !j.may_begin_occurrence() {
-                    break;
-                }
+            let cost = self.advice_cost_of(id);
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            while next_occurrence_ms(j).is_some_and(|t| t <= wall_ms) && j.may_begin_occurrence() {
                 let new_steps: Vec<StepState> = j.job.steps.iter().map(new_step).collect();
                 j.steps.extend(new_steps);
-                let cost = self.advice_cost_of(id);
-                if let Some(j) = self.jobs.get_mut(&id) {
-                    set_critical_paths(j, cost);
-                    j.step_refs(id).into_iter().for_each(|r| self.update_waiting(r));
-                }
             }
+            set_critical_paths(j, cost);
+            j.step_refs(id).into_iter().for_each(|r| self.update_waiting(r));
         }
     }
 
@@ -274,7 +277,7 @@
         let Some(q) = self.queues.get(&job.queue) else { return Duration::ZERO };
         let advice = q.advice.map_or(Duration::ZERO, |a| a.cost(OBJECTIVE_ADVICE_WORKERS));
         let chain = critical_paths(&job.steps, advice).into_iter().max().unwrap_or_default();
-        chain.mul_f64(q.stretch.max(0.0)) + q.objective
+        scale(chain, q.stretch).saturating_add(q.objective)
     }
 
     fn advice_cost(&self, queue: &str) -> Duration {
@@ -306,21 +309,27 @@
 
 /// Returns when the next occurrence is due, in milliseconds since 1970, or `None` after the last one.
 fn next_occurrence_ms(j: &JobState) -> Option<u64> {
-    let s = j.job.schedule?;
+    let s = j.job.schedule.filter(|_| !j.job.steps.is_empty())?;
     let next = j.occurrences() as u64;
-    (next < u64::from(s.count)).then(|| s.first_ms + next * s.interval_ms)
+    let due = || s.first_ms.saturating_add(next.saturating_mul(s.interval_ms));
+    (next < u64::from(s.count)).then(due)
+}
+
+/// Multiplies a duration. The result stops at zero and at [`Duration::MAX`].
+fn scale(d: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(d.as_secs_f64() * factor.max(0.0)).unwrap_or(Duration::MAX)
 }
 
 /// Returns the longest estimated chain of steps from the start of each step to the end of the job.
 fn critical_paths(steps: &[Step], advice: Duration) -> Vec<Duration> {
-    let mut tails: Vec<Duration> =
-        steps.iter().map(|s| Duration::from_millis(s.estimate_ms) + advice).collect();
+    let own_time = |s: &Step| Duration::from_millis(s.estimate_ms).saturating_add(advice);
+    let mut tails: Vec<Duration> = steps.iter().map(own_time).collect();
     for later in (0..steps.len()).rev() {
         for earlier in &steps[later].after {
             let earlier = *earlier as usize;
             if earlier < later {
-                let own = Duration::from_millis(steps[earlier].estimate_ms) + advice;
-                tails[earlier] = tails[earlier].max(own + tails[later]);
+                let chain = own_time(&steps[earlier]).saturating_add(tails[later]);
+                tails[earlier] = tails[earlier].max(chain);
             }
         }
     }
--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -77,7 +77,7 @@
             workers,
             first: !j.steps.iter().any(|s| s.has_started),
             age: now.saturating_sub(j.accepted_at),
-            slack: j.deadline.saturating_sub(step.critical_path + now),
+            slack: j.deadline.saturating_sub(step.critical_path.saturating_add(now)),
             advice: step.advice_time,
         });
     }
@@ -146,7 +146,7 @@
         t.run = run;
         let checkpoint = if gang { shared_checkpoint } else { t.checkpoint.clone() };
         let w = self.worker_mut(idx);
-        let start_by_ms = w.estimated_clock_ms(now).unwrap_or(0) + window;
+        let start_by_ms = w.estimated_clock_ms(now).unwrap_or(0).saturating_add(window);
         w.lease_to_ms = w.lease_to_ms.max(start_by_ms);
         let incarnation = w.info.incarnation;
         let Some(assignment) = w.assignments.get_mut(&task) else { return };
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -58,7 +58,8 @@
         for (_, r) in order {
             self.schedule_step(r, &mut pass, now, out);
         }
-        self.cpu_kept_milli = pass.gang_room.values().map(|kept| kept.cpu_milli).sum();
+        let kept = pass.gang_room.values().map(|kept| kept.cpu_milli);
+        self.cpu_kept_milli = kept.fold(0, u64::saturating_add);
         self.kept_room = pass.kept;
         let reserved: Vec<StepRef> = self.reserved_steps.iter().copied().collect();
         for r in reserved {
@@ -230,6 +231,9 @@
         pass: &mut Pass,
     ) {
         let demand = step_def.demand();
+        let count = step.waiting().count();
+        // A gang that needs no resources fits any number of times.
+        let max_fit = |free: &Resources| fit_count(free, &demand).min(count as u64);
         let Some(tickets) = &step.tickets else { return };
         // The times at which each worker can take one more member: at once for its free room, then as its tasks end.
         let mut slots: Vec<(Duration, WorkerIndex)> = Vec::new();
@@ -240,16 +244,15 @@
             let mut ends: Vec<_> =
                 w.assignments.values().map(|h| (h.expected_end, h.demand)).collect();
             ends.sort_unstable_by_key(|(at, _)| *at);
-            let mut fitting = fit_count(&free, &demand);
+            let mut fitting = max_fit(&free);
             slots.extend((0..fitting).map(|_| (Duration::ZERO, idx)));
             for (at, size) in ends {
                 free = free.saturating_add(&size);
-                let fitting_then = fit_count(&free, &demand);
+                let fitting_then = max_fit(&free);
                 slots.extend((fitting..fitting_then).map(|_| (at, idx)));
                 fitting = fitting.max(fitting_then);
             }
         }
-        let count = step.waiting().count();
         if slots.len() < count {
             return;
         }
@@ -262,8 +265,8 @@
         pass.kept.push((r, slots.into_iter().map(|(_, idx)| (idx, demand)).collect()));
     }
 
-    /// Returns the room that a task of a non-urgent step must leave free on a worker for urgent tasks; gangs leave
-    /// none.
+    /// Returns the room that a task of a non-urgent step must leave free on a worker for urgent tasks, if the worker
+    /// is large enough for both; gangs leave none.
     fn urgent_headroom(&self, r: StepRef, step_def: &Step) -> Resources {
         let queue = self.jobs.get(&r.job).and_then(|j| self.queues.get(&j.job.queue));
         let urgent = queue.is_none_or(|q| q.priority == 0);
@@ -278,7 +281,7 @@
             let Some(step) = self.step_mut(r) else { return };
             let t = &mut step.tasks[i as usize];
             t.assigned_to = Some(idx);
-            let run = t.run + 1;
+            let run = t.run.saturating_add(1);
             step.reserved_at = now;
             let assignment = Assignment {
                 run,
@@ -302,7 +305,7 @@
     /// Assigns the same run number to all members of a gang.
     fn align_runs(&mut self, r: StepRef) {
         let Some(step) = self.step_mut(r) else { return };
-        let run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        let run = step.tasks.iter().map(|t| t.run).max().unwrap_or(0).saturating_add(1);
         let members: Vec<(WorkerIndex, Task)> =
             (0..).zip(&step.tasks).filter_map(|(i, t)| Some((t.assigned_to?, r.task(i)))).collect();
         for (idx, task) in members {
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -36,7 +36,7 @@
         if report.incarnation != 0 && report.incarnation != w.info.incarnation {
             // Only a later incarnation can answer a poll that was sent after the known one was learned of. Its number may
             // be lower, since wall clocks can go back.
-            if sent < w.incarnation_known_at {
+            if w.info.incarnation != 0 && sent <= w.incarnation_known_at {
                 return;
             }
             self.restart_worker(idx, report.incarnation, now);
@@ -216,7 +216,7 @@
             // may have counted a failure that it did not acknowledge.
             if t.last_failed_run < run {
                 t.last_failed_run = run;
-                t.failure_count += 1;
+                t.failure_count = t.failure_count.saturating_add(1);
             }
             failures = t.failure_count;
         }
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -201,11 +201,11 @@
     pub info: WorkerInfo,
     /// The capacity and the reserved resources.
     pub host: Host,
-    pub missing_since: Option<Duration>,
-    /// The incarnation that the list of workers names.
+    /// The incarnation in the worker's entry in the list; 0 if the entry states none.
     pub listed_incarnation: Incarnation,
-    /// When this owner learned of the incarnation that `info` names.
+    /// When the known incarnation became known.
     pub incarnation_known_at: Duration,
+    pub missing_since: Option<Duration>,
     /// Whether the worker has answered a poll of this owner in its current incarnation.
     pub confirmed: bool,
     /// The worker's clock, and the owner's time at which it was read.
@@ -244,15 +244,14 @@
     pub(crate) fn min_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
         let elapsed = now.saturating_sub(read_at);
-        Some(
-            clock + millis(elapsed.checked_sub(elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000).unwrap()),
-        )
+        let lag = elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000;
+        Some(clock.saturating_add(millis(elapsed.saturating_sub(lag))))
     }
 
     /// Returns the worker's clock at `now`, assuming that it runs at the same rate as the owner's.
     pub(crate) fn estimated_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
-        Some(clock + millis(now.saturating_sub(read_at)))
+        Some(clock.saturating_add(millis(now.saturating_sub(read_at))))
     }
 
     pub(crate) fn assign(&mut self, task: Task, assignment: Assignment) {
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -1,8 +1,11 @@
 //! Tests of the owner of a cell.
 
 mod advice;
+mod any_values;
+mod extremes;
 mod faults;
 mod fixture;
+mod incarnation;
 mod liveness;
 mod owner;
 mod progress;
--- a/crates/catkin-node/src/leadership/mod.rs
+++ b/crates/catkin-node/src/leadership/mod.rs
@@ -277,7 +277,13 @@
         tracing::warn!(epoch, "lead: giving up the cell, reading its jobs took too long");
         return row::release(cx, current).await;
     }
-    let owner = Owner::start(Arc::clone(cx), epoch, loaded).await;
+    let owner = match Owner::start(Arc::clone(cx), epoch, loaded).await {
+        Ok(owner) => owner,
+        Err(e) => {
+            tracing::error!(epoch, "lead: releasing the cell, its owner did not start: {e}");
+            return row::release(cx, current).await;
+        }
+    };
     cx.owner.send_replace(Some(owner.clone()));
     cx.set_owner_healthy(true);
     announce(cx, &owner, &current.record);
@@ -314,6 +320,10 @@
                 tracing::info!(epoch, "lead: an owner of a later term exists");
                 return Next::Owner(OwnerRow::default());
             }
+            () = owner.failed() => {
+                tracing::error!(epoch, "lead: releasing the cell, its owner has ended by itself");
+                return Next::Release;
+            }
         }
         if cx.is_draining() {
             return Next::Release;
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod load;
 mod logs;
+mod odd_entries;
 mod path;
 mod refused;
 mod restart;
