Takeover: the previous owner's wait ends when its daemon answers as another process

After a power loss of all hosts, or the death of the owner's process, the next owner is another daemon in most cases.

Now the new owner calls the address of the previous one each 0.3 s, until the daemon answers with another incarnation, another wait is over, or the term ends. A daemon is one process at a time and binds its address, and the call is sent after the claim: the process that owned the cell is gone by the answer. The wait for owners before it is not shortened; nothing is known of them. A heartbeat that the daemon sends by itself is not used: one of a still earlier process could arrive late.

`an_owner_whose_daemon_answers_as_another_process_acts_no_more` holds the rule. A daemon that comes back at another address is waited for in full.

--- a/crates/catkin-node/src/leadership/earlier.rs
+++ b/crates/catkin-node/src/leadership/earlier.rs
@@ -6,6 +6,7 @@
 
 use super::term::AUTONOMY_LIMIT;
 use crate::table::OwnerRecord;
+use catkin_schema::peer::Heartbeat;
 use std::time::Duration;
 
 /// Until when owners of earlier terms may act, on the clock of this daemon.
@@ -29,6 +30,22 @@
         Self { previous_until: now + previous_left, others_until: now + others_left }
     }
 
+    /// Records what a daemon answered, to a call that was sent after the claim, at the address of the previous owner. That
+    /// owner acts no more from `now` on if its daemon is another process by then. Returns whether it is.
+    pub fn record_answer(
+        &mut self,
+        previous: &OwnerRecord,
+        answer: &Heartbeat,
+        now: Duration,
+    ) -> bool {
+        let is_gone =
+            answer.daemon == previous.daemon && answer.incarnation != previous.incarnation;
+        if is_gone {
+            self.previous_until = self.previous_until.min(now);
+        }
+        is_gone
+    }
+
     /// Returns the time from which no earlier owner acts.
     #[must_use]
     pub fn until(&self) -> Duration {
--- a/crates/catkin-node/src/leadership/mod.rs
+++ b/crates/catkin-node/src/leadership/mod.rs
@@ -7,6 +7,7 @@
 pub mod candidate;
 pub mod earlier;
 pub mod load;
+mod previous;
 pub mod renewal;
 mod row;
 pub mod term;
@@ -214,6 +215,7 @@
     cx.metrics.count_takeover();
     let epoch = current.record.epoch;
     cx.term.send_replace(Some(Term::new(epoch, sent, cx.now(), earlier)));
+    previous::spawn_watch(cx, previous.record, epoch);
     publish_leader(cx, &current.record);
     let current = run_as_owner(cx, current).await;
     cx.term.send_replace(None);
--- a/crates/catkin-node/tests/node/earlier.rs
+++ b/crates/catkin-node/tests/node/earlier.rs
@@ -3,6 +3,7 @@
 use catkin_node::leadership::earlier::EarlierOwners;
 use catkin_node::leadership::term::AUTONOMY_LIMIT;
 use catkin_node::table::OwnerRecord;
+use catkin_schema::peer::Heartbeat;
 use std::time::Duration;
 
 const OWN: &str = "node-1";
@@ -45,6 +46,26 @@
     assert_eq!(seconds_left(&previous), AUTONOMY_LIMIT.as_secs());
 }
 
+#[test]
+fn an_owner_whose_daemon_answers_as_another_process_acts_no_more() {
+    let (claimed, now) = (Duration::from_secs(100), Duration::from_secs(101));
+    let previous = OwnerRecord { incarnation: 7, ..record("node-2", 0) };
+    let mut earlier = EarlierOwners::new(&previous, OWN, claimed);
+    let answer = |daemon: &str, incarnation| Heartbeat {
+        daemon: daemon.into(),
+        incarnation,
+        ..Heartbeat::default()
+    };
+    assert!(!earlier.record_answer(&previous, &answer("node-2", 7), now), "the same process");
+    assert!(!earlier.record_answer(&previous, &answer("node-3", 8), now), "another daemon");
+    assert_eq!(earlier.until(), claimed + AUTONOMY_LIMIT);
+    assert!(earlier.record_answer(&previous, &answer("node-2", 8), now));
+    assert_eq!(earlier.until(), now);
+    let mut others = EarlierOwners::new(&record("node-2", 4_000), OWN, claimed);
+    others.record_answer(&previous, &answer("node-2", 8), now);
+    assert_eq!(others.until(), claimed + Duration::from_secs(4), "owners before it are unknown");
+}
+
 #[test]
 fn no_owner_of_a_series_acts_beyond_what_a_successor_knows() {
     let mut rng = 0x9E37_79B9_7F4A_7C15_u64;
--- a/tests/node_path/restart.rs
+++ b/tests/node_path/restart.rs
@@ -44,3 +44,16 @@
     }
     d.stop_and_check().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_owner_learns_that_the_process_of_its_predecessor_is_gone() {
+    let mut d = Deployment::start("gone", 3, &Options::default()).await;
+    let owner = d.owner().expect("no daemon owns the cell");
+    d.nodes[owner].kill();
+    eventually("another daemon owns the cell", async || d.owner().is_some()).await;
+    d.nodes[owner].spawn(false);
+    let message = "lead: the process of the previous owner is gone";
+    let knows = |n: &Node| n.log_lines().iter().any(|l| l["message"] == message);
+    eventually("the new owner knows", async || d.nodes.iter().any(knows)).await;
+    d.stop_and_check().await;
+}
