--- a/crates/catkin-cell/tests/cell/takeover.rs
+++ b/crates/catkin-cell/tests/cell/takeover.rs
@@ -95,7 +95,7 @@
     run_for(&mut w, START_TIME);
     // The first owner continues for its autonomy and reaches only the worker that its successors do not reach.
     let n = w.workers.iter().position(|w| !w.running.is_empty()).expect("a worker runs the task");
-    let cut_off = Duration::from_secs(60);
+    let cut_off = Duration::from_mins(1);
     w.cut_off(1 - n, cut_off);
     let end = w.now + AUTONOMY;
     w.take_over(Some(end));
@@ -118,7 +118,7 @@
         w.accept(1, vec![step(1, 3_000, 60_000)]);
         (0..ticks).for_each(|_| w.run_tick());
         crash(&mut w, crash_owner);
-        w.cut_off(0, Duration::from_secs(60));
+        w.cut_off(0, Duration::from_mins(1));
         run_for(&mut w, Duration::from_secs(30));
         assert_eq!(w.violations, Vec::<String>::new(), "{ticks} ticks");
         assert!(w.workers[1].running.len() == 1, "{ticks} ticks: {}", w.explain());
