--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -4,14 +4,16 @@
 //! after the allowed failures, and steps start in their order.
 
 mod checks;
+mod delivery;
+mod takeover;
 
-use crate::worker::{TaskRun, Worker};
+use crate::worker::Worker;
 use catkin_cell::action::StoredJob;
 use catkin_cell::cell::AdviceAnswer::{Eligible, Unavailable};
 use catkin_cell::job::{Job, State, Step};
 use catkin_cell::queue::{AdviceSettings, Queue};
-use catkin_cell::worker::{EndReason, Reply, WorkerIndex, WorkerReport};
-use catkin_cell::{Action, AdviceRequest, Cell, Options, Progress, Start, Stop, Task, Write};
+use catkin_cell::worker::{Reply, WorkerIndex, WorkerReport};
+use catkin_cell::{Action, AdviceRequest, Cell, Progress, Start, Stop, Task, Write};
 use catkin_types::{Epoch, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -225,44 +227,6 @@
         }
     }
 
-    /// A new owner takes over. The old one crashes at `crash_at`, or continues until an answer fences it.
-    pub fn take_over(&mut self, crash_at: Option<Duration>) {
-        let crashed = self.owners.is_empty() || crash_at.is_some_and(|at| at <= self.now);
-        if !crashed || self.fault(self.faults.crash_unnoticed) {
-            self.earlier_owners_until = self.now + AUTONOMY;
-        }
-        let isolated = !crashed && self.fault(self.faults.owner_isolated);
-        if let Some(owner) = self.owners.last_mut() {
-            owner.crash_at = crash_at;
-            owner.isolated = isolated;
-            owner.cell.confirm_term(self.now);
-        }
-        self.epoch += 1;
-        let opt = Options {
-            autonomy: AUTONOMY,
-            lease: REQUESTED_LEASE,
-            max_lease: crate::worker::MAX_LEASE,
-            ..Options::default()
-        };
-        let mut cell = Cell::new(opt, self.epoch, self.now);
-        cell.limit_earlier_owners(self.earlier_owners_until.max(self.now));
-        cell.configure([("q".to_owned(), self.queue.clone())]);
-        for (id, job) in &self.jobs {
-            let progress = self.progress.get(id).cloned().unwrap_or_default();
-            let loaded = StoredJob { job: job.clone(), progress };
-            cell.add(*id, loaded, Duration::ZERO, self.now);
-        }
-        cell.update_workers(self.workers.iter().map(|w| w.info.clone()).collect(), false, self.now);
-        self.owners.push(Owner {
-            cell,
-            epoch: self.epoch,
-            writing: false,
-            polls: HashMap::new(),
-            crash_at: None,
-            isolated: false,
-        });
-    }
-
     /// Runs until `end` or until every job has ended.
     pub fn run(&mut self, end: Duration) {
         while self.now < end && self.violations.is_empty() && !self.all_ended() {
@@ -295,11 +259,6 @@
         self.workers[n].reachable = false;
     }
 
-    /// Makes a worker unreachable for the newest owner for a time. Earlier owners still reach it.
-    pub fn cut_off(&mut self, n: usize, time: Duration) {
-        self.cut_off_until.insert((self.epoch, n), self.now + time);
-    }
-
     /// Describes the jobs that have not ended.
     pub fn explain(&self) -> String {
         let Some(owner) = self.owners.last() else { return "no owner is active".into() };
@@ -308,46 +267,6 @@
         why.collect::<Vec<_>>().join("\n")
     }
 
-    fn inject_faults(&mut self) {
-        if !self.now.as_millis().is_multiple_of(1_000) {
-            return;
-        }
-        let rates = self.faults;
-        if self.chance(rates.owner_crash) {
-            let continues = self.chance(rates.owner_continues);
-            let crash_at = if continues { self.now + AUTONOMY } else { self.now };
-            self.take_over(Some(crash_at));
-            self.cut_off_workers();
-        }
-        for n in 0..self.workers.len() {
-            if self.chance(rates.worker_crash) {
-                self.workers[n].crash(self.now);
-            }
-            if self.chance(rates.partition) {
-                let duration = Duration::from_millis(500 + self.random() % 9_000);
-                self.partitioned_until[n] = self.now + duration;
-            }
-        }
-        let listed: Vec<_> = self.workers.iter().map(|w| w.info.clone()).collect();
-        for owner in &mut self.owners {
-            owner.cell.update_workers(listed.clone(), false, self.now);
-        }
-    }
-
-    /// Divides the workers between the newest owner and an isolated one before it. An owner that is fenced anywhere would
-    /// step down.
-    fn cut_off_workers(&mut self) {
-        let isolated = self.owners.iter().rev().find(|o| o.isolated).map(|o| o.epoch);
-        for n in 0..self.workers.len() {
-            if self.fault(self.faults.worker_cut_off) {
-                let time = Duration::from_millis(500 + self.random() % 30_000);
-                self.cut_off(n, time);
-            } else if let Some(epoch) = isolated {
-                self.cut_off_until.insert((epoch, n), self.now + AUTONOMY);
-            }
-        }
-    }
-
     fn advance_workers(&mut self) {
         for n in 0..self.workers.len() {
             let mut facts = Vec::new();
@@ -357,37 +276,6 @@
         }
     }
 
-    fn deliver_start(&mut self, s: Start, epoch: Epoch, answered: bool) {
-        let now = self.now;
-        let (n, unreachable) = self.worker_reachability(s.worker, epoch);
-        if unreachable {
-            if answered {
-                let when = now + Duration::from_millis(600);
-                self.schedule_event(when, Event::StartReply(s, epoch, Reply::Unknown));
-            }
-            return;
-        }
-        let step = self.accepted[&s.task.step.job].steps[s.task.step.step as usize].clone();
-        let ms = step.estimate_ms / 2 + self.random() % step.estimate_ms.max(1);
-        let ms = ms * u64::from(self.faults.duration_factor.max(1));
-        let reason =
-            if self.chance(self.faults.task_failure) { EndReason::Failed } else { EndReason::Done };
-        let run = TaskRun {
-            number: s.run,
-            size: step.size,
-            began: now,
-            ends: now + Duration::from_millis(ms),
-            reason,
-        };
-        let mut facts = Vec::new();
-        let reply = self.workers[n].start(&s, epoch, &step, &run, now, &mut facts);
-        self.record_facts(n, facts);
-        if answered {
-            let when = now + self.delay();
-            self.schedule_event(when, Event::StartReply(s, epoch, reply));
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         let now = self.now;
         match event {
@@ -491,13 +379,6 @@
         });
     }
 
-    /// Returns a worker, and whether the owner of the term `epoch` can't reach it.
-    fn worker_reachability(&self, idx: WorkerIndex, epoch: Epoch) -> (usize, bool) {
-        let n = worker_number(idx);
-        let cut_off = self.cut_off_until.get(&(epoch, n)).is_some_and(|at| *at > self.now);
-        (n, cut_off || !self.workers[n].reachable || self.partitioned_until[n] > self.now)
-    }
-
     fn with_owner(&mut self, epoch: Epoch, f: impl FnOnce(&mut Owner, &mut Vec<Action>)) {
         let mut out = Vec::new();
         if let Some(owner) = self.owners.iter_mut().find(|owner| owner.epoch == epoch) {
@@ -523,65 +404,6 @@
         }
     }
 
-    /// Returns when an order is carried out, whether it is answered, and the worker's incarnation. The incarnation is
-    /// only given for an order that the worker has received and carries out late: it is dropped if the worker restarts.
-    fn plan_delivery(&mut self, idx: WorkerIndex) -> (Duration, bool, Option<u64>) {
-        if self.chance(self.faults.order_late) {
-            let late = Duration::from_millis(700 + self.random() % 5_000);
-            let n = worker_number(idx);
-            return (self.now + late, false, Some(self.workers[n].info.incarnation));
-        }
-        let lost = self.chance(self.faults.answer_lost);
-        (self.now + self.delay(), !lost, None)
-    }
-
-    /// Returns whether an order was received by an earlier incarnation of the worker and dropped with it.
-    fn is_dropped(&self, idx: WorkerIndex, receiver: Option<u64>) -> bool {
-        let n = worker_number(idx);
-        receiver.is_some_and(|receiver| receiver != self.workers[n].info.incarnation)
-    }
-
-    fn send_start(&mut self, s: Start, epoch: Epoch) {
-        let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker, epoch);
-        if !answered || unreachable {
-            let at = self.now + Duration::from_millis(600);
-            self.schedule_event(at, Event::StartReply(s.clone(), epoch, Reply::Unknown));
-        }
-        self.schedule_event(
-            when,
-            Event::DeliverStart(s, epoch, answered && !unreachable, receiver),
-        );
-    }
-
-    fn send_stop(&mut self, s: Stop, epoch: Epoch) {
-        let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker, epoch);
-        if !answered || unreachable {
-            let at = self.now + Duration::from_millis(600);
-            self.schedule_event(at, Event::StopReply(s.clone(), epoch, Reply::Unknown));
-        }
-        self.schedule_event(when, Event::DeliverStop(s, epoch, answered && !unreachable, receiver));
-    }
-
-    fn send_poll(&mut self, idx: WorkerIndex, epoch: Epoch, wait: Duration) {
-        let now = self.now;
-        let Some(owner) = self.owners.iter_mut().find(|owner| owner.epoch == epoch) else { return };
-        let params = owner.cell.poll_params(idx, now);
-        let when = now + self.delay();
-        self.schedule_event(
-            when,
-            Event::DeliverPoll(
-                idx,
-                epoch,
-                now,
-                params.lease_to_ms,
-                params.acknowledged,
-                when + wait,
-            ),
-        );
-    }
-
     fn tick_owners(&mut self) {
         let now = self.now;
         self.owners.retain(|owner| owner.crash_at.is_none_or(|at| at > now));
