Owner: a job whose rows can't be read is held

Seen by callers (would be): after a take-over by a daemon that can't read the progress of a job, tasks that have ended are started again. A job whose own row can't be read is accepted, unknown to its owner, and answered with 503; its tasks are stopped and their ends forgotten, so that an owner that can read it starts them again.

Cause: an unreadable progress row counted as no progress, an unreadable job row as no job. `table::decode` logs an error; nothing counts it, and nothing holds the job.

Now the owner holds such a job: it starts nothing, does not stop what runs, and does not acknowledge ends. It can't know which tasks have run, so a start could be the second one, and an acknowledged end would be lost to an owner that can read the row. It is shown as running, and can be cancelled if its own row can be read. The price: ends that follow at the same worker are not acknowledged either, while the job is held. Weighed and not done: ending the job as failed (no task of it failed), and acknowledging its ends (a task would run twice after the next take-over).

A warning with job, table and reason once a term, `catkin_rows_unreadable_total` and `jobs_held` show it.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -30,19 +30,8 @@
         let steps = load_steps(&job, progress);
         let has_started = steps.iter().any(|s| s.has_started);
         let deadline = accepted_at + self.objective(&job);
-        let mut state = JobState {
-            job,
-            steps,
-            outcome: None,
-            version: 0,
-            durable_version: 0,
-            dirty: false,
-            writing_version: None,
-            write_refused: false,
-            accepted_at,
-            deadline,
-            has_started,
-        };
+        let mut state =
+            JobState { steps, accepted_at, deadline, has_started, ..JobState::new(job) };
         let cost = self.advice_cost(&state.job.queue);
         set_critical_paths(&mut state, cost);
         self.update_urgent_size(&state.job);
@@ -72,10 +61,14 @@
 
     /// Handles a cancellation that a caller requested and that is durable.
     pub fn cancel(&mut self, id: JobId, out: &mut Vec<Action>) {
+        let held = self.is_held(id);
         if let Some(j) = self.jobs.get_mut(&id) {
             j.job.cancelled = true;
             self.end_job(id, State::Cancelled, out);
         }
+        if held {
+            self.stop_runs(id, out);
+        }
     }
 
     /// Returns whether the job is tracked: its end is not durable yet, or is durable and within the retention period.
@@ -134,7 +127,8 @@
         let steps: Vec<String> = steps.collect();
         let (version, durable, writing) = (j.version, j.durable_version, j.writing_version);
         Some(format!(
-            "outcome {:?}, version {version}, durable version {durable}, writing version {writing:?}; {}",
+            "hold {:?}, outcome {:?}, version {version}, durable version {durable}, writing version {writing:?}; {}",
+            j.hold,
             j.outcome,
             steps.join("; ")
         ))
@@ -172,7 +166,8 @@
             .jobs
             .iter()
             .filter(|(_, j)| {
-                j.outcome.is_none() && next_occurrence_ms(j).is_some_and(|t| t <= wall_ms)
+                let is_due = next_occurrence_ms(j).is_some_and(|t| t <= wall_ms);
+                j.outcome.is_none() && j.hold.is_none() && is_due
             })
             .map(|(id, _)| *id)
             .collect();
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod gang;
+mod held;
 mod jobs;
 mod launch;
 mod orders;
@@ -145,6 +146,8 @@
 pub struct Summary {
     /// Jobs whose end is not durable yet.
     pub jobs: usize,
+    /// Those of them that start nothing, because their rows can't be read or were refused.
+    pub jobs_held: usize,
     /// Steps with waiting tasks whose earlier steps have ended.
     pub steps_waiting: usize,
     /// Waiting gangs.
@@ -232,6 +235,7 @@
         }
         Summary {
             jobs: self.jobs.len(),
+            jobs_held: self.jobs.values().filter(|j| j.hold.is_some()).count(),
             steps_waiting: self.waiting_steps.len(),
             gangs_waiting: self.waiting_steps.iter().filter(|r| self.is_gang(**r)).count(),
             steps_unadvised: self.waiting_steps.iter().filter(unadvised).count(),
@@ -297,7 +301,7 @@
     fn update_waiting(&mut self, r: StepRef) {
         let is_waiting = self.jobs.get(&r.job).is_some_and(|j| {
             let is_waiting = j.step(r).is_some_and(|s| s.waiting().next().is_some());
-            j.outcome.is_none() && !j.write_refused && is_waiting && j.is_ready(r)
+            j.outcome.is_none() && j.hold.is_none() && is_waiting && j.is_ready(r)
         });
         if is_waiting {
             self.waiting_steps.insert(r);
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -1,6 +1,7 @@
 //! Answers of workers to polls: ends, running tasks, and tasks that are missing from the report.
 
 use super::Cell;
+use super::held::NEVER_DURABLE;
 use crate::action::{Action, Stop};
 use crate::event::Event;
 use crate::job::State;
@@ -94,6 +95,9 @@
         out: &mut Vec<Action>,
     ) -> Option<(JobId, u64)> {
         let task = end.task;
+        if self.is_held(task.step.job) {
+            return Some((task.step.job, NEVER_DURABLE));
+        }
         let j = self.jobs.get_mut(&task.step.job)?;
         j.has_started = true;
         let job_ended = j.outcome.is_some();
@@ -260,7 +264,8 @@
         }
     }
 
-    /// Takes over a running task that this owner did not start if the task is still needed, and stops it otherwise.
+    /// Takes over a running task that this owner did not start if the task is still needed, and stops it otherwise. A
+    /// task of a held job runs on, because it is not known whether it is needed.
     fn adopt(&mut self, idx: WorkerIndex, r: &RunningTask, now: Duration, out: &mut Vec<Action>) {
         let wanted = self.jobs.get(&r.task.step.job).is_some_and(|j| {
             let t = j.step(r.task.step).and_then(|s| s.tasks.get(r.task.index as usize));
@@ -270,6 +275,7 @@
             .jobs
             .get(&r.task.step.job)
             .and_then(|j| Some(j.job.steps.get(r.task.step.step as usize)?.demand()));
+        let held = self.is_held(r.task.step.job);
         let w = self.worker_mut(idx);
         let incarnation = w.info.incarnation;
         let assignment = Assignment {
@@ -277,7 +283,7 @@
             // The size of a task of an unknown job is unknown: reserves the whole worker, so that nothing else is
             // placed there.
             demand: demand.unwrap_or(w.host.capacity),
-            phase: if wanted { Phase::Running } else { Phase::Stopping },
+            phase: if wanted || held { Phase::Running } else { Phase::Stopping },
             since: now,
             start_by_ms: 0,
             reported: true,
@@ -295,7 +301,7 @@
             self.record_checkpoint(r);
             self.mark_started(r.task.step);
             self.update_waiting(r.task.step);
-        } else {
+        } else if !held {
             out.push(Action::Stop(Stop { worker: idx, incarnation, task: r.task, run: r.run }));
         }
     }
--- a/crates/catkin-cell/src/cell/save.rs
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -3,7 +3,7 @@
 use super::Cell;
 use crate::action::Write;
 use crate::job::State;
-use crate::step::JobState;
+use crate::step::{Hold, JobState};
 use crate::task::{StepRef, Task};
 use crate::worker::{Phase, Worker, WorkerIndex};
 use catkin_types::JobId;
@@ -77,7 +77,7 @@
             let (Write::Progress(id, _) | Write::Ended(id, _)) = w;
             let Some(j) = self.jobs.get_mut(id) else { continue };
             j.writing_version = None;
-            j.write_refused = true;
+            j.hold = j.hold.or(Some(Hold::WriteRefused));
             for r in j.step_refs(*id) {
                 self.release_reservations(r);
                 self.update_waiting(r);
@@ -105,7 +105,8 @@
     fn record_durable_progress(&mut self, id: JobId) {
         let Some(j) = self.jobs.get_mut(&id) else { return };
         j.durable_version = j.writing_version.take().unwrap_or(j.durable_version);
-        if std::mem::take(&mut j.write_refused) {
+        if j.hold == Some(Hold::WriteRefused) {
+            j.hold = None;
             for r in j.step_refs(id) {
                 self.update_waiting(r);
             }
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -132,6 +132,15 @@
     Failures { index, times: t.failure_count, run: t.last_failed_run }
 }
 
+/// Why a job starts no task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hold {
+    /// The newest write was refused for good. A later one that is durable ends the hold.
+    WriteRefused,
+    /// The stored state of the job can't be read. The job has no steps here.
+    Unreadable,
+}
+
 /// A job whose end is not durable yet.
 #[derive(Clone, Debug)]
 pub(crate) struct JobState {
@@ -146,8 +155,8 @@
     pub dirty: bool,
     /// The version that is being written.
     pub writing_version: Option<u64>,
-    /// Whether the newest write was refused for good. No task starts until a later one is durable.
-    pub write_refused: bool,
+    /// Why the job starts no task; absent if it may.
+    pub hold: Option<Hold>,
     /// When the job was accepted, on the owner's clock.
     pub accepted_at: Duration,
     /// The job is late from this time on, on the owner's clock.
@@ -156,6 +165,23 @@
 }
 
 impl JobState {
+    /// Returns the state of a job without steps that was accepted at the zero of the clock.
+    pub(crate) fn new(job: Job) -> Self {
+        Self {
+            job,
+            steps: Vec::new(),
+            outcome: None,
+            version: 0,
+            durable_version: 0,
+            dirty: false,
+            writing_version: None,
+            hold: None,
+            accepted_at: Duration::ZERO,
+            deadline: Duration::ZERO,
+            has_started: false,
+        }
+    }
+
     pub(crate) fn occurrences(&self) -> usize {
         self.steps.len().checked_div(self.job.steps.len()).unwrap_or(0)
     }
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod faults;
+mod held;
 mod owner;
 mod progress;
 mod refused;
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -96,6 +96,8 @@
     cancelled: HashSet<JobId>,
     /// Jobs whose progress rows the table refuses.
     pub refused: HashSet<JobId>,
+    /// Jobs whose progress owners that take over can't read.
+    pub unreadable: HashSet<JobId>,
     /// The number of progress rows that the table refused.
     pub refusals: usize,
     pub starts: u64,
@@ -147,6 +149,7 @@
             suspect_starts: Vec::new(),
             cancelled: HashSet::new(),
             refused: HashSet::new(),
+            unreadable: HashSet::new(),
             refusals: 0,
             starts: 0,
             advice_request_sizes: Vec::new(),
@@ -220,6 +223,10 @@
         let mut cell = Cell::new(opt, self.epoch, self.now);
         cell.configure([("q".to_owned(), self.queue.clone())]);
         for (id, job) in &self.jobs {
+            if self.unreadable.contains(id) {
+                cell.hold(*id, job.clone(), Duration::ZERO, self.now);
+                continue;
+            }
             let progress = self.progress.get(id).cloned().unwrap_or_default();
             let loaded = StoredJob { job: job.clone(), progress };
             cell.add(*id, loaded, Duration::ZERO, self.now);
--- a/crates/catkin-node/src/leadership/load.rs
+++ b/crates/catkin-node/src/leadership/load.rs
@@ -1,14 +1,13 @@
 //! Reads the state of the cell at a takeover.
 
 use crate::cx::Cx;
+use crate::table::jobs::UnreadableJob;
 use crate::table::{self, Head, PART_COUNT};
 use catkin_cell::action::StoredJob;
 use catkin_cell::worker::WorkerInfo;
-use catkin_cell::{Job, Progress};
 use catkin_platform::error::Error;
 use catkin_platform::store::{CommitOutcome, Row, Transaction};
 use catkin_platform::worker_list;
-use catkin_types::id::parse_job;
 use catkin_types::{Epoch, JobId};
 use futures::future::try_join_all;
 use std::collections::HashMap;
@@ -26,6 +25,8 @@
 pub struct InitialState {
     /// The jobs that have not ended.
     pub jobs: HashMap<JobId, StoredJob>,
+    /// The jobs whose rows can't be read.
+    pub unreadable: Vec<UnreadableJob>,
     /// The version of each part's [`Head`] row, by the index of the part.
     pub head_versions: Vec<u64>,
     /// The workers that are listed.
@@ -49,16 +50,10 @@
     let (jobs, progress): (Vec<_>, Vec<_>) =
         parts.into_iter().map(|p| (p.jobs, p.progress)).unzip();
     initial.job_versions = jobs.iter().map(|(_, version)| *version).collect();
-    for row in jobs.iter().flat_map(|(rows, _)| rows) {
-        if let (Some(id), Some(job)) = (parse_job(&row.key), table::decode::<Job>(row)) {
-            initial.jobs.insert(id, StoredJob { job, ..StoredJob::default() });
-        }
-    }
-    for row in progress.iter().flat_map(|(rows, _)| rows) {
-        let Some(id) = parse_job(&row.key) else { continue };
-        if let (Some(j), Some(p)) = (initial.jobs.get_mut(&id), table::decode::<Progress>(row)) {
-            j.progress = p;
-        }
+    for ((jobs, _), (progress, _)) in jobs.iter().zip(&progress) {
+        let (jobs, unreadable) = table::jobs::restore(jobs, progress);
+        initial.jobs.extend(jobs);
+        initial.unreadable.extend(unreadable);
     }
     tracing::info!(epoch, jobs = initial.jobs.len(), workers = initial.workers.len(), "lead: read");
     Ok(initial)
--- a/crates/catkin-node/src/metrics/mod.rs
+++ b/crates/catkin-node/src/metrics/mod.rs
@@ -33,6 +33,7 @@
     orders: Counter,
     takeovers: Counter,
     rows_refused: Counter,
+    rows_unreadable: Counter,
     cell: Arc<Mutex<CellSnapshot>>,
 }
 
@@ -51,6 +52,7 @@
             orders: instruments.counter("catkin_orders"),
             takeovers: instruments.counter("catkin_takeovers"),
             rows_refused: instruments.counter("catkin_rows_refused"),
+            rows_unreadable: instruments.counter("catkin_rows_unreadable"),
             cell: Arc::default(),
             instruments,
         };
@@ -60,8 +62,9 @@
 
     fn observe_cell(&self) {
         type Value = fn(&CellSnapshot) -> u64;
-        let values: [(&'static str, &'static str, &str, Value); 14] = [
+        let values: [(&'static str, &'static str, &str, Value); 15] = [
             ("catkin_cell_jobs", "state", "open", |c| c.summary.jobs as u64),
+            ("catkin_cell_jobs", "state", "held", |c| c.summary.jobs_held as u64),
             ("catkin_cell_steps", "state", "waiting", |c| c.summary.steps_waiting as u64),
             ("catkin_cell_steps", "state", "reserved", |c| c.summary.steps_reserved as u64),
             ("catkin_cell_steps", "state", "unsettled", |c| c.summary.steps_unsettled as u64),
@@ -129,6 +132,11 @@
         self.rows_refused.add(&[("table", table)]);
     }
 
+    /// Counts a row of a job that can't be read.
+    pub fn count_unreadable_row(&self, table: &str) {
+        self.rows_unreadable.add(&[("table", table)]);
+    }
+
     /// Replaces the exported snapshot of the cell.
     pub fn set_cell(&self, cell: CellSnapshot) {
         *self.cell.lock().unwrap_or_else(PoisonError::into_inner) = cell;
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -5,12 +5,10 @@
 use crate::cx::Cx;
 use crate::leadership::load;
 use crate::table::{self, JOBS, PART_COUNT};
-use catkin_cell::Job;
 use catkin_platform::error::Error;
 use catkin_platform::store::Row;
 use catkin_platform::worker_list;
 use catkin_types::JobId;
-use catkin_types::id::parse_job;
 use ractor::ActorRef;
 use std::sync::Arc;
 use std::time::Duration;
@@ -108,11 +106,7 @@
 }
 
 fn send_jobs(myself: &ActorRef<Message>, rows: &[Row]) {
-    let parse_row = |r: &Row| -> Option<(JobId, Job)> {
-        r.value.as_ref()?;
-        Some((parse_job(&r.key)?, table::decode(r)?))
-    };
-    let jobs: Vec<_> = rows.iter().filter_map(parse_row).collect();
+    let jobs: Vec<_> = rows.iter().filter_map(table::jobs::parse).collect();
     if !jobs.is_empty() {
         drop(myself.send_message(Message::JobRows(jobs)));
     }
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -11,11 +11,13 @@
 use crate::cx::{Cx, spawn_until};
 use crate::gate::store::WriteOutcome;
 use crate::leadership::load;
+use crate::table::jobs::{JobRow, UnreadableJob};
 use catkin_cell::action::StoredJob;
 use catkin_cell::cell::AdviceAnswer;
 use catkin_cell::worker::{Reply, WorkerIndex, WorkerInfo, WorkerReport};
 use catkin_cell::{Action, AdviceRequest, Cell, Job, Options, Start, State, Stop};
 use catkin_platform::config::Config;
+use catkin_types::id::format_job;
 use catkin_types::{Epoch, JobId, WorkerId};
 use commits::{Parts, Submission};
 use polls::Polls;
@@ -56,7 +58,7 @@
         complete: bool,
     },
     /// Rows of jobs that were read from the table.
-    JobRows(Vec<(JobId, Job)>),
+    JobRows(Vec<JobRow>),
     /// The result of a poll: the worker, when the poll was sent, whether it was the long poll, and the answer. The
     /// answer is a report, a refusal, or `None` if it was lost.
     PollReply(WorkerIndex, Duration, bool, Option<Result<WorkerReport, Reply>>),
@@ -243,6 +245,9 @@
             let age = self.age(loaded_job.job.accepted_ms);
             self.cell.add(id, loaded_job, age, now);
         }
+        for job in initial.unreadable {
+            self.hold(job, now);
+        }
         self.cell.update_workers(initial.workers, false, now);
         self.follow_config();
         self.follow_workers(initial.workers_version);
@@ -295,8 +300,8 @@
             }
             Message::JobAccepted(id) => self.read_job(id),
             Message::JobRows(jobs) => {
-                for (id, job) in jobs {
-                    self.apply_job_row(id, job, now, &mut out);
+                for job in jobs {
+                    self.apply_job_row(job, now, &mut out);
                 }
             }
             Message::Cancel(id) => self.cell.cancel(id, &mut out),
@@ -348,12 +353,25 @@
     }
 
     /// Applies the current row of a job: adds a job that is unknown, and cancels a known one whose row is cancelled.
-    fn apply_job_row(&mut self, id: JobId, job: Job, now: Duration, out: &mut Vec<Action>) {
-        if !self.cell.is_known(id) {
-            self.add(id, job, now);
-        } else if job.cancelled {
-            self.cell.cancel(id, out);
+    fn apply_job_row(&mut self, row: JobRow, now: Duration, out: &mut Vec<Action>) {
+        match row {
+            JobRow::Read(id, job) if !self.cell.is_known(id) => self.add(id, job, now),
+            JobRow::Read(id, job) if job.cancelled => self.cell.cancel(id, out),
+            JobRow::Read(..) => {}
+            JobRow::Unreadable(job) => self.hold(job, now),
+        }
+    }
+
+    /// Holds a job that is unknown and can't be read.
+    fn hold(&mut self, unreadable: UnreadableJob, now: Duration) {
+        let UnreadableJob { id, job, table, why } = unreadable;
+        if self.cell.is_known(id) {
+            return;
         }
+        self.cx.metrics.count_unreadable_row(table);
+        tracing::warn!(job = format_job(id), table, why, "owner: job held, its row can't be read");
+        let age = self.age(job.accepted_ms);
+        self.cell.hold(id, job, age, now);
     }
 
     /// Schedules the next pass. The delay lets one pass cover events that arrive at about the same time.
--- a/crates/catkin-node/src/owner/report.rs
+++ b/crates/catkin-node/src/owner/report.rs
@@ -29,6 +29,7 @@
         tracing::info!(
             epoch = self.cell.epoch(),
             jobs = overview.jobs,
+            jobs_held = overview.jobs_held,
             steps_waiting = overview.steps_waiting,
             gangs_waiting = overview.gangs_waiting,
             steps_unadvised = overview.steps_unadvised,
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -11,6 +11,7 @@
 pub mod availability;
 pub mod client;
 pub mod clock;
+pub mod jobs;
 pub mod latency;
 
 use catkin_cell::{Progress, State};
@@ -149,11 +150,15 @@
     })
 }
 
+/// Decodes a value.
+fn read<T: DeserializeOwned>(value: &[u8]) -> serde_json::Result<T> {
+    serde_json::from_slice(value)
+}
+
 /// Decodes the value of a row. Returns `None` if the row has no value or can't be decoded.
 #[must_use]
 pub fn decode<T: DeserializeOwned>(row: &Row) -> Option<T> {
-    let value = row.value.as_ref()?;
-    serde_json::from_slice(value)
+    read(row.value.as_ref()?)
         .inspect_err(|e| tracing::error!("table: decoding row {} failed: {e}", row.key))
         .ok()
 }
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -12,3 +12,4 @@
 mod path;
 mod refused;
 mod restart;
+mod unreadable;
