Tests: jobs written without a notification run across a take-over and lost history

The path of a job that a gate writes beside the owner, without the notification: 60 jobs of all parts, the history of changes discarded after each seven, the owner killed after 20. It passes on the code as it is: the feed starts at the oldest version of a part's first page, a page's later rows are only read twice, and a discarded history makes the owner read all jobs.

--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -12,4 +12,5 @@
 mod path;
 mod refused;
 mod restart;
+mod unnotified;
 mod unreadable;
