--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod extremes;
 mod faults;
 mod fixture;
+mod held;
 mod incarnation;
 mod liveness;
 mod owner;
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -64,6 +64,8 @@
     cancelled: HashSet<JobId>,
     /// Jobs whose progress rows the table refuses.
     pub refused: HashSet<JobId>,
+    /// Jobs whose progress owners that take over can't read.
+    pub unreadable: HashSet<JobId>,
     /// The number of progress rows that the table refused.
     pub refusals: usize,
     pub starts: u64,
@@ -117,6 +119,7 @@
             suspect_starts: Vec::new(),
             cancelled: HashSet::new(),
             refused: HashSet::new(),
+            unreadable: HashSet::new(),
             refusals: 0,
             starts: 0,
             advice_request_sizes: Vec::new(),
--- a/crates/catkin-cell/tests/cell/world/owners.rs
+++ b/crates/catkin-cell/tests/cell/world/owners.rs
@@ -44,6 +44,10 @@
         cell.limit_earlier_owners(self.earlier_owners_until.max(self.now));
         cell.configure([("q".to_owned(), self.queue.clone())]);
         for (id, job) in &self.jobs {
+            if self.unreadable.contains(id) {
+                cell.hold(*id, job.clone(), Duration::ZERO, self.now);
+                continue;
+            }
             let progress = self.progress.get(id).cloned().unwrap_or_default();
             let loaded = StoredJob { job: job.clone(), progress };
             cell.add(*id, loaded, Duration::ZERO, self.now);
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -13,3 +13,5 @@
 mod path;
 mod refused;
 mod restart;
+mod unnotified;
+mod unreadable;
--- a/tests/node_path/odd_entries.rs
+++ b/tests/node_path/odd_entries.rs
@@ -49,9 +49,9 @@
     let nested = "[".repeat(DEPTH) + &"]".repeat(DEPTH);
     for (n, value) in [nested.as_str(), "1e400"].into_iter().enumerate() {
         let odd = text.replacen('{', &format!("{{\"x\":{value},"), 1);
-        d.platform.store.write_bytes("servers", &format!("unreadable-{n}"), odd.as_bytes());
+        d.platform.store.write_value("servers", "", &format!("unreadable-{n}"), odd.as_bytes());
     }
-    d.platform.store.write_bytes("servers", "unreadable", b"\xff\x00");
+    d.platform.store.write_value("servers", "", "unreadable", b"\xff\x00");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
