--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -10,5 +10,6 @@
 mod load;
 mod logs;
 mod odd_entries;
+mod odd_jobs;
 mod path;
 mod restart;
