Configuration: a route that can't be read does not keep the others from being in force

Callers would see: with one route that lacks a field or has one of another type, the whole configuration is ignored: a daemon that starts has none and answers 503 to all, one that runs stays with the version before. The operator's store accepts only valid ones, so this takes a kind of route that this version doesn't know. Such a route is now left out, with a log line at the level of an error that names it.

--- a/crates/catkin-node/src/config_watch/mod.rs
+++ b/crates/catkin-node/src/config_watch/mod.rs
@@ -76,6 +76,9 @@
     let newer = tx.borrow().as_ref().is_none_or(|old| config.version > old.version);
     if newer {
         tracing::info!(version = config.version, routes = config.routes.len(), "config: in force");
+        for why in &config.unreadable_routes {
+            tracing::error!(version = config.version, "config: a route is left out: {why}");
+        }
         tx.send_replace(Some(Arc::new(config)));
     }
 }
