--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod logs;
 mod odd_entries;
+mod odd_jobs;
 mod path;
 mod refused;
 mod restart;
