Gates: a daemon that does not know the owner yet waits for it while the table service is slow

Callers were answered 503 by a daemon that had just started, though their job could have been stored in time: with a service that has been slow, a gate writes nothing itself, and it refused where no owner was known. It waits for the owner now, until the job could no longer be stored in time or the service is unavailable.

The test delays the read of the owner row.

--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -82,6 +82,7 @@
     if deadline.saturating_sub(cx.now()) < MIN_ACCEPT_TIME {
         return WriteOutcome::NotCommitted;
     }
+    wait_for_owner(cx, deadline).await;
     let owner_outcome = tokio::select! {
         outcome = store_via_owner(cx, id, job, deadline) => outcome,
         () = owner_lost(cx) => Some(WriteOutcome::Unknown),
@@ -109,6 +110,23 @@
     !cx.table.is_unavailable() && !cx.table.latency().is_slow()
 }
 
+/// Waits until this daemon knows the owner, if it could store the job neither through the owner nor directly. Returns at
+/// once while the table service is unavailable.
+async fn wait_for_owner(cx: &Cx, deadline: Duration) {
+    let mut leader = cx.leader.subscribe();
+    while leader.borrow_and_update().is_none()
+        && !cx.table.is_unavailable()
+        && !may_write_directly(cx)
+    {
+        let left = deadline.saturating_sub(cx.now() + MIN_ACCEPT_TIME);
+        if left.is_zero() {
+            return;
+        }
+        // The table service may become unavailable meanwhile. The senders live as long as `cx`.
+        let _ = tokio::time::timeout(left.min(LOOK_INTERVAL), leader.changed()).await;
+    }
+}
+
 /// Stores a job with calls of this daemon, and notifies the owner of it.
 async fn accept_beside_owner(
     cx: &Arc<Cx>,
--- a/tests/node_path/load.rs
+++ b/tests/node_path/load.rs
@@ -71,6 +71,35 @@
     d.stop_and_check().await;
 }
 
+/// How long a daemon that starts needs to learn the owner.
+const OWNER_READ_TIME: Duration = Duration::from_millis(1_200);
+
+// A daemon that had just started answered 503 while the store was slow, though its client could have waited.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_that_does_not_know_the_owner_yet_does_not_refuse_while_the_store_is_slow() {
+    let mut d = Deployment::start("unknown-owner", 2, &Options::default()).await;
+    let started = 1 - d.owner().expect("no daemon owns the cell");
+    d.nodes[started].kill();
+    d.platform.store.set_mode(Mode::Slow(SLOW_READ));
+    d.platform.store.delay_reads("cell", OWNER_READ_TIME);
+    d.nodes[started].spawn(false);
+    let configured =
+        |n: &Node| n.log_lines().iter().filter(|l| l["message"] == "config: in force").count() == 2;
+    eventually("the daemon is configured", async || configured(&d.nodes[started])).await;
+    assert!(!knows_owner_again(&d.nodes[started]), "the daemon is to learn the owner later");
+    let status =
+        d.client.submit(d.nodes[started].client_addr(), FIRST_JOB, &spec(vec![step(1, 100)])).await;
+    assert_eq!(status.status, Some(200));
+    d.platform.store.set_mode(Mode::Serve);
+    d.wait_state(FIRST_JOB, "completed").await;
+    d.stop_and_check().await;
+}
+
+/// Whether a daemon that was started a second time has learned the owner again.
+fn knows_owner_again(node: &Node) -> bool {
+    node.log_lines().iter().filter(|l| l["message"] == "lead: the cell is owned").count() > 1
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_sent_to_an_owner_that_falls_silent_are_accepted_by_its_successor() {
     let d = Deployment::start("silent-owner", 3, &Options::default()).await;
