Progress: earlier versions can read the rows of jobs that are not large

Callers would see, while daemons are replaced one after the other: tasks that have ended run again. A daemon of an earlier version that takes over after one of this version can't decode the compact rows, drops the progress with a log line, and starts all tasks of the job.

Cause: each row is written in the compact form, whatever its size.

Both forms are read.

The other tests of catkin-cell pass.

--- a/crates/catkin-cell/src/progress/mod.rs
+++ b/crates/catkin-cell/src/progress/mod.rs
@@ -18,9 +18,9 @@
 /// The durable progress of a step.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StepProgress {
-    /// Whether all tasks have ended successfully. The other fields are then empty.
+    /// Whether all tasks have ended successfully. Then `failed`, `run` and `on` are empty.
     pub complete: bool,
-    /// The tasks that have ended successfully.
+    /// The tasks that have ended successfully; empty if the step was read as complete.
     pub done: Vec<u32>,
     /// The tasks that have failed. Failures of a gang are counted under task 0.
     pub failed: Vec<Failures>,
--- a/crates/catkin-cell/src/progress/wire.rs
+++ b/crates/catkin-cell/src/progress/wire.rs
@@ -1,15 +1,23 @@
-//! The stored form of progress, which stays small for jobs with many tasks, steps and occurrences.
+//! The stored forms of progress.
 //!
-//! A number in `steps` stands for so many steps that have ended. Sets of tasks are ranges of indices. Workers are named
-//! once for the whole job. Rows of earlier versions, with lists in place of ranges, can be read. A field that is not known
-//! here may change the meaning of the others, so a row that has one can't be read.
+//! The plain form lists tasks and workers in each step. Earlier versions can read it, so it is written while it fits a
+//! row: a daemon of such a version may take over during a rolling update. The compact form stays small for jobs with many
+//! tasks, steps and occurrences: a number in `steps` stands for so many steps that have ended, sets of tasks are ranges of
+//! indices, and workers are named once for the whole job. A field that is not known here may change the meaning of the
+//! others, so a row that has one can't be read.
 
 use super::ranges::{self, Invalid};
-use super::{Failures, MAX_WORKER_RANGES, Progress, StepProgress};
+use super::{Failures, MAX_PROGRESS_BYTES, MAX_WORKER_RANGES, Progress, StepProgress, TASK_BYTES};
 use catkin_types::WorkerId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// The bytes of a step in the plain form, beside its tasks and workers.
+const PLAIN_STEP_BYTES: usize = 52;
+/// The bytes of the failures of a task in the plain form.
+const PLAIN_FAILURES_BYTES: usize = 60;
+/// The bytes of a worker in the plain form, beside its name.
+const PLAIN_WORKER_BYTES: usize = 3;
 /// The largest number of steps that have ended, one after the other.
 const MAX_COMPLETE: u32 = 1_000_000;
 
@@ -46,7 +54,7 @@
 #[serde(untagged)]
 enum TasksWire {
     Ranges(String),
-    /// Written by earlier versions.
+    /// In the plain form.
     List(Vec<u32>),
 }
 
@@ -55,7 +63,7 @@
 enum FailuresWire {
     /// Tasks that failed so many times, last in this run.
     Group(u32, u32, String),
-    /// Written by earlier versions.
+    /// In the plain form.
     Task(Failures),
 }
 
@@ -64,12 +72,33 @@
 enum WorkersWire {
     /// Indices in [`ProgressWire::workers`].
     Ranges(String),
-    /// Written by earlier versions.
+    /// In the plain form.
     Names(Vec<WorkerId>),
 }
 
 impl From<Progress> for ProgressWire {
     fn from(progress: Progress) -> Self {
+        let bytes: Option<usize> = progress.steps.iter().map(max_plain_bytes).sum();
+        if bytes.is_some_and(|bytes| bytes <= MAX_PROGRESS_BYTES) {
+            let steps = progress.steps.into_iter().map(OpenStepWire::plain);
+            return Self { steps: steps.map(StepWire::Open).collect(), workers: Vec::new() };
+        }
+        Self::compact(progress)
+    }
+}
+
+/// Returns the largest size of a step in the plain form. Returns `None` if it has ended with tasks that are not known.
+fn max_plain_bytes(step: &StepProgress) -> Option<usize> {
+    if step.complete && step.done.is_empty() {
+        return None;
+    }
+    let workers: usize = step.on.iter().map(|name| name.len() + PLAIN_WORKER_BYTES).sum();
+    let tasks = step.done.len() * TASK_BYTES + step.failed.len() * PLAIN_FAILURES_BYTES;
+    Some(PLAIN_STEP_BYTES + tasks + workers)
+}
+
+impl ProgressWire {
+    fn compact(progress: Progress) -> Self {
         let mut wire = Self::default();
         let mut indices = BTreeMap::new();
         for step in progress.steps {
@@ -91,9 +120,7 @@
         }
         wire
     }
-}
 
-impl ProgressWire {
     fn push_complete(&mut self) {
         match self.steps.last_mut() {
             Some(StepWire::Complete(n)) if *n < MAX_COMPLETE => *n += 1,
@@ -146,6 +173,15 @@
 }
 
 impl OpenStepWire {
+    fn plain(step: StepProgress) -> Self {
+        Self {
+            done: (!step.done.is_empty()).then_some(TasksWire::List(step.done)),
+            failed: step.failed.into_iter().map(FailuresWire::Task).collect(),
+            run: step.run,
+            on: (!step.on.is_empty()).then_some(WorkersWire::Names(step.on)),
+        }
+    }
+
     fn into_progress(self, workers: &[WorkerId]) -> Result<StepProgress, Invalid> {
         let done = match self.done {
             Some(TasksWire::Ranges(text)) => ranges::parse(&text)?,
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -107,12 +107,13 @@
 
     pub(crate) fn to_progress(&self) -> StepProgress {
         let indexed = || (0..).zip(&self.tasks);
+        let done = indexed().filter(|(_, t)| t.done).map(|(i, _)| i).collect();
         if self.remaining == 0 {
-            return StepProgress { complete: true, ..StepProgress::default() };
+            return StepProgress { complete: true, done, ..StepProgress::default() };
         }
         StepProgress {
             complete: false,
-            done: indexed().filter(|(_, t)| t.done).map(|(i, _)| i).collect(),
+            done,
             failed: indexed().filter(|(_, t)| t.failure_count > 0).map(failures).collect(),
             run: self.max_run,
             on: self.start_workers.clone(),
--- a/crates/catkin-cell/tests/cell/progress.rs
+++ b/crates/catkin-cell/tests/cell/progress.rs
@@ -1,11 +1,12 @@
-//! The stored form of progress: its size, and rows of earlier versions.
+//! The stored form of progress: its size, and rows of and for earlier versions.
 
 use crate::owner::step;
-use catkin_cell::action::StoredJob;
+use catkin_cell::action::{StoredJob, Write};
 use catkin_cell::job::{MAX_TASKS, Schedule};
 use catkin_cell::progress::{Failures, Progress, StepProgress};
 use catkin_cell::{Cell, Job, Options};
 use catkin_types::WorkerId;
+use serde::Deserialize;
 use std::time::Duration;
 
 /// The largest value of a row of the table service.
@@ -109,3 +110,42 @@
     let steps = vec![half_failed(100); open];
     assert!(encoded(&Progress { steps }).len() <= MAX_ROW_BYTES);
 }
+
+/// Progress as earlier versions read it.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct EarlierProgress {
+    steps: Vec<EarlierStep>,
+}
+
+#[derive(Debug, Default, PartialEq, Deserialize)]
+#[serde(default)]
+struct EarlierStep {
+    done: Vec<u32>,
+    failed: Vec<Failures>,
+    run: u32,
+    on: Vec<WorkerId>,
+}
+
+// A daemon of an earlier version that took over could not read the rows, and started tasks again that had ended.
+#[test]
+fn earlier_versions_can_read_the_progress_of_jobs_that_are_not_large() {
+    let mut cell = Cell::new(Options::default(), 1, Duration::ZERO);
+    let job = Job { steps: vec![step(2, 1, 1), step(3, 1, 1)], ..Job::default() };
+    let ended = StepProgress { done: vec![0, 1], ..StepProgress::default() };
+    let failed = vec![Failures { index: 0, times: 1, run: 2 }];
+    let open =
+        StepProgress { done: vec![2], failed, run: 2, on: workers(1), ..StepProgress::default() };
+    let progress = Progress { steps: vec![ended, open] };
+    cell.add(1, StoredJob { job, progress }, Duration::ZERO, Duration::ZERO);
+    // The worker is gone, which is written once the task can't run there any more.
+    cell.tick(Duration::from_mins(1), &mut Vec::new());
+    let writes = cell.take_writes(|_| true, usize::MAX);
+    let [Write::Progress(1, written)] = writes.as_slice() else { panic!("{writes:?}") };
+    let read: EarlierProgress =
+        serde_json::from_str(&encoded(written)).expect("the row can be read");
+    let failed = vec![Failures { index: 0, times: 1, run: 2 }];
+    let open = EarlierStep { done: vec![2], failed, run: 2, ..EarlierStep::default() };
+    assert_eq!(read.steps, [EarlierStep { done: vec![0, 1], ..EarlierStep::default() }, open]);
+    assert_eq!(decoded(&encoded(written)).steps[1], written.steps[1]);
+}
