Owner: a part that can't be read hides no job of the other parts

Seen by callers (would be): a job is accepted by a gate whose notification is lost, and does not run while another part of the table can't be read.

Cause: when the history of changes is gone, the owner reads all parts one after the other and stops at the first that fails; the feed stays at a version that is gone, so this repeats each second and the later parts are never read.

Evidence: unnotified::a_part_that_can_not_be_read_hides_no_job_of_the_other_parts, before: timed out after 60s waiting until every job has run (part 0 rejects reads, jobs of parts 1 to 3 written without a notification, history discarded).

The parts are now read at the same time, and what was read is used whatever happens to the others. The feed goes on once all were read.

--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -9,6 +9,7 @@
 use catkin_platform::store::Row;
 use catkin_platform::worker_list;
 use catkin_types::JobId;
+use futures::future::join_all;
 use ractor::ActorRef;
 use std::sync::Arc;
 use std::time::Duration;
@@ -113,13 +114,22 @@
 }
 
 /// Reads all jobs again, after the table service discarded the history of their changes. Returns the version after
-/// which changes are new, or `None` if a read failed.
+/// which changes are new, or `None` if a part was not read.
 async fn reread_jobs(cx: &Cx, myself: &ActorRef<Message>) -> Option<u64> {
-    let mut oldest = u64::MAX;
-    for part in 0..PART_COUNT {
-        let (rows, version) = load::read_all(cx, JOBS, table::part_name(part)).await.ok()?;
-        oldest = oldest.min(version);
-        send_jobs(myself, &rows);
+    let versions = join_all((0..PART_COUNT).map(|part| reread_part(cx, myself, part))).await;
+    versions.into_iter().collect::<Option<Vec<u64>>>()?.into_iter().min()
+}
+
+/// Reads the jobs of a part again. Returns the version at which they were read, or `None` if they were not.
+async fn reread_part(cx: &Cx, myself: &ActorRef<Message>, part: usize) -> Option<u64> {
+    match load::read_all(cx, JOBS, table::part_name(part)).await {
+        Ok((rows, version)) => {
+            send_jobs(myself, &rows);
+            Some(version)
+        }
+        Err(e) => {
+            tracing::debug!("owner: the jobs of part {part} not read again, will retry: {e}");
+            None
+        }
     }
-    Some(oldest)
 }
--- a/tests/node_path/unnotified.rs
+++ b/tests/node_path/unnotified.rs
@@ -4,7 +4,7 @@
 use crate::path::{spec, step};
 use catkin_cell::Job;
 use catkin_cell::job::Step;
-use catkin_node::table::accept_changes;
+use catkin_node::table::{accept_changes, part_name};
 use catkin_platform_standin::Options;
 use catkin_platform_standin::platform::{QUEUE, SERVICE};
 use catkin_types::JobId;
@@ -55,3 +55,20 @@
     }
     d.stop_and_check().await;
 }
+
+/// The first part that could not be read kept the owner from reading the others again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_part_that_can_not_be_read_hides_no_job_of_the_other_parts() {
+    let d = Deployment::start("closed-part", 1, &Options::default()).await;
+    d.platform.store.close_part(part_name(0));
+    let jobs = [1, 2, 3];
+    for id in jobs {
+        write_unnotified(&d, id);
+    }
+    d.platform.store.compact();
+    eventually("every job has run", async || {
+        jobs.iter().all(|id| d.platform.checker.start_count_of(*id) == 1)
+    })
+    .await;
+    d.stop_and_check().await;
+}
