--- a/crates/catkin-node/src/owner/commits/batch.rs
+++ b/crates/catkin-node/src/owner/commits/batch.rs
@@ -98,32 +98,21 @@
         let mut pieces = vec![std::mem::take(&mut self.content)];
         while let Some(piece) = pieces.pop() {
             self.content = piece;
-            let why = match self.write_piece(cx, owner).await {
-                Written::Superseded => return None,
-                Written::Committed(version) => {
-                    durable.append(self.advance(version));
-                    continue;
-                }
-                Written::Refused(why) => why,
-            };
-            let mut piece = std::mem::take(&mut self.content);
-            if piece.len() > 1 {
-                pieces.push(piece.split_off_half());
-                pieces.push(piece);
-                continue;
-            }
-            // The service may refuse every write for now: the row is at fault only if a write without it succeeds.
             match self.write_piece(cx, owner).await {
                 Written::Superseded => return None,
-                Written::Committed(version) => {
-                    self.advance(version);
-                    report_refused(cx, &piece, &why);
-                    refused.append(piece);
-                }
-                Written::Refused(e) => {
-                    tracing::warn!("owner: every write of part {} is refused: {e}", self.part);
-                    tokio::time::sleep(RETRY_DELAY).await;
-                    pieces.push(piece);
+                Written::Committed(version) => durable.append(self.advance(version)),
+                Written::Refused(why) => {
+                    let mut piece = std::mem::take(&mut self.content);
+                    if piece.len() > 1 {
+                        pieces.push(piece.split_off_half());
+                        pieces.push(piece);
+                    } else if self.write_head(cx, owner).await? {
+                        report_refused(cx, &piece, &why);
+                        refused.append(piece);
+                    } else {
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        pieces.push(piece);
+                    }
                 }
             }
         }
@@ -137,6 +126,22 @@
         })
     }
 
+    /// Writes the part's row alone, after a job's row was refused. Returns `false` if the service refuses this too: the
+    /// job's row is then not at fault. Returns `None` if an owner of a later term exists.
+    async fn write_head(&mut self, cx: &Cx, owner: &ActorRef<Message>) -> Option<bool> {
+        match self.write_piece(cx, owner).await {
+            Written::Superseded => None,
+            Written::Committed(version) => {
+                self.advance(version);
+                Some(true)
+            }
+            Written::Refused(e) => {
+                tracing::warn!("owner: every write of part {} is refused: {e}", self.part);
+                Some(false)
+            }
+        }
+    }
+
     /// Prepares the next transaction after one that set the part's row to `version`. Returns the rows of that one.
     fn advance(&mut self, version: u64) -> Content {
         self.version = version;
