Cell: a lost task starts elsewhere only once the term is confirmed after the loss

A task could run again after its end was taken note of, in a divided network: the successor hears a worker's end and makes it durable, the worker restarts, and the old owner, which reaches neither the table nor the successor's workers, learns of the restart, takes the task for lost and starts it on a worker of the same step that only it reaches.

It is the same fault as with leases: what an owner infers of a task, without the worker's word, holds only if there was no later owner then. One rule replaces the one for leases: the step keeps when tasks were last lost, and nothing of it starts before `Term::renewed_at` has passed that time.

The simulation lets an isolated owner read the list of workers, which is harder than the platform.

--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -109,6 +109,8 @@
     waiting_steps: BTreeSet<StepRef>,
     /// Steps with reserved room.
     reserved_steps: BTreeSet<StepRef>,
+    /// Steps of which tasks were lost since the last tick.
+    steps_with_losses: BTreeSet<StepRef>,
     /// Gangs whose members were started and that are not known to be complete.
     assembling_gangs: BTreeSet<StepRef>,
     /// Jobs with changes that have not been handed out to be written, in the order in which they changed.
@@ -196,6 +198,7 @@
             ended: HashMap::new(),
             waiting_steps: BTreeSet::new(),
             reserved_steps: BTreeSet::new(),
+            steps_with_losses: BTreeSet::new(),
             assembling_gangs: BTreeSet::new(),
             dirty_jobs: VecDeque::new(),
             settled_workers: HashSet::new(),
@@ -265,6 +268,7 @@
     pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.now = now;
         self.expire_leases(now);
+        self.record_losses(now);
         self.resend_stops(now, out);
         self.check_gangs(now, out);
         self.expire_reservations(now);
--- a/crates/catkin-cell/src/cell/settle.rs
+++ b/crates/catkin-cell/src/cell/settle.rs
@@ -19,6 +19,22 @@
         self.confirmed_at = Some(at);
     }
 
+    /// Records when the tasks of steps were lost that were found to be lost by `now`.
+    pub(super) fn record_losses(&mut self, now: Duration) {
+        for r in std::mem::take(&mut self.steps_with_losses) {
+            if let Some(step) = self.step_mut(r) {
+                step.lost_at = Some(now);
+            }
+        }
+    }
+
+    /// Returns whether no owner of a later term existed when tasks of the step were lost. Such an owner may have renewed
+    /// the lease of their worker, or have seen their ends before the worker restarted.
+    fn are_losses_confirmed(&self, r: StepRef) -> bool {
+        let lost_at = self.step(r).and_then(|s| s.lost_at);
+        self.confirmed_at.is_none_or(|at| lost_at.is_none_or(|lost_at| lost_at <= at))
+    }
+
     /// Settles the waiting steps of which no task can run unknown to this owner. If no task is assigned either, nothing
     /// of the step runs, and its recorded workers are removed: later owners need not wait for them.
     pub(super) fn settle_steps(&mut self, now: Duration) {
@@ -43,9 +59,10 @@
         (self.opt.lease + self.opt.lease / LEASE_MARGIN_DIVISOR).max(self.max_stray_period())
     }
 
-    /// Returns whether no task of the step can run unknown to this owner. A worker that an earlier owner may have used
-    /// is settled once it answered in this term, or once no earlier owner acts and what they have started last has run out.
+    /// Returns whether no task of the step can run or have ended unknown to this owner. A worker that an earlier owner may
+    /// have used is settled once it answered in this term, or once no earlier owner acts and what they have started last
+    /// has run out.
     pub(super) fn is_settled(&self, r: StepRef) -> bool {
-        self.step(r).is_some_and(|s| s.unsettled.is_empty())
+        self.step(r).is_some_and(|s| s.unsettled.is_empty()) && self.are_losses_confirmed(r)
     }
 }
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -187,6 +187,7 @@
         if assigned_here {
             self.counts.lost += 1;
             self.events.push(Event::TaskLost { task, worker });
+            self.steps_with_losses.insert(task.step);
             self.clear_worker(task);
         }
     }
@@ -203,10 +204,8 @@
         self.stray_period() + self.stray_period() / STRAY_MARGIN_DIVISOR
     }
 
-    /// Marks the tasks of unresponsive workers as lost once their leases have run out. An owner of a later term may renew
-    /// these leases: they have to run out before the last time at which there was none.
+    /// Marks the tasks of unresponsive workers as lost once their leases have run out.
     pub(super) fn expire_leases(&mut self, now: Duration) {
-        let now = self.confirmed_at.map_or(now, |at| at.min(now));
         let stray_period = self.stray_period();
         let expired = |w: &Worker| {
             let Some(clock) = w.min_clock_ms(now) else {
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -59,6 +59,8 @@
     pub intent_version: u64,
     /// Workers on which an earlier owner may have started tasks that have not been reported yet.
     pub unsettled: Vec<WorkerId>,
+    /// When tasks were last found to be lost.
+    pub lost_at: Option<Duration>,
     /// The newest checkpoint of the gang.
     pub gang_checkpoint: Option<String>,
     /// When room was reserved.
--- a/crates/catkin-cell/tests/cell/faults.rs
+++ b/crates/catkin-cell/tests/cell/faults.rs
@@ -74,6 +74,20 @@
     });
 }
 
+#[test]
+fn old_owners_see_workers_restart_that_their_successors_use() {
+    assert_invariants_hold(Faults {
+        owner_crash: 80,
+        owner_continues: 1_000,
+        owner_isolated: 1_000,
+        worker_cut_off: 500,
+        worker_crash: 60,
+        task_failure: 300,
+        duration_factor: 6,
+        ..Faults::default()
+    });
+}
+
 #[test]
 fn worker_crashes_and_partitions() {
     assert_invariants_hold(Faults {
@@ -125,3 +139,21 @@
         ..Faults::default()
     });
 }
+
+#[test]
+fn all_faults_combined_with_isolated_owners() {
+    assert_invariants_hold(Faults {
+        answer_lost: 40,
+        order_late: 40,
+        owner_crash: 80,
+        owner_continues: 700,
+        owner_isolated: 800,
+        crash_unnoticed: 300,
+        worker_cut_off: 500,
+        worker_crash: 20,
+        partition: 30,
+        task_failure: 100,
+        worker_lag_per_mille: 20,
+        duration_factor: 8,
+    });
+}
