cell: an entry that names a lower incarnation than before is a restart

What callers would see: a task that runs a second time after it was done. A worker restarts under its id after its clock went back. Until it answers a poll, the owner goes on to acknowledge the ends of the earlier incarnation; the numbers of the next one begin at 1 again, so the worker drops ends that nobody has read. The list named the new incarnation all the while.

If the list named the known incarnation until now and names another one, that is a later one, whatever its number.

--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -64,15 +64,17 @@
         let incarnation =
             if known_incarnation == 0 { entry.incarnation } else { known_incarnation };
         let listed_incarnation = entry.incarnation;
-        // The entry of an earlier incarnation may stay listed after the worker has answered in a later one.
-        let is_news =
-            std::mem::replace(&mut w.listed_incarnation, listed_incarnation) != listed_incarnation;
-        let restarted = known_incarnation != 0 && listed_incarnation > known_incarnation;
+        let listed_before = std::mem::replace(&mut w.listed_incarnation, listed_incarnation);
+        // The entry of an earlier incarnation may stay listed after the worker has answered in a later one. If the list
+        // named the known one until now, the next one may have a lower number, since wall clocks can go back.
+        let is_news = listed_incarnation != 0 && listed_incarnation != listed_before;
+        let is_later = listed_incarnation > known_incarnation || listed_before == known_incarnation;
+        let restarted = known_incarnation != 0 && is_news && is_later;
         if incarnation != known_incarnation {
             w.incarnation_known_at = now;
         }
         w.update_info(WorkerInfo { incarnation, ..entry });
-        if restarted && is_news {
+        if restarted {
             self.restart_worker(idx, listed_incarnation, now);
         }
     }
