cell: a worker that restarts during a takeover is settled by its answer, not by its entry in the list

What callers would see: a task that runs twice at a time. A worker restarts just before or after a takeover, and the new owner sees that in the list. It took the worker as settled, since all tasks of the earlier incarnation are gone. An order that the earlier owner sent shortly before can still reach the next incarnation, which knows no epoch yet and carries it out.

The worker is now settled once it answers a poll, which also makes it refuse the earlier owner's orders, or once the waiting period is over. A worker whose address answers 421 is settled as before: the worker there refuses orders that are meant for the other.

--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -162,8 +162,11 @@
     ) {
         let w = self.worker_mut(idx);
         let lost = w.begin_incarnation(incarnation, now);
-        let id = w.info.id.clone();
-        self.settled_workers.insert(id);
+        if incarnation == 0 {
+            // The worker at the address refuses all calls that are meant for this one.
+            let id = w.info.id.clone();
+            self.settled_workers.insert(id);
+        }
         for task in lost {
             self.mark_lost(task, idx);
         }
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -5,5 +5,6 @@
 mod fixture;
 mod liveness;
 mod owner;
+mod restarts;
 mod worker;
 mod world;
