cell: a lease that a call to an earlier incarnation extended counts in later terms too

What callers would see: a task that runs twice at a time. A call that was meant for an earlier incarnation names a time on another clock and can give the next incarnation the longest lease. The owner that saw the restart waits for that lease. An owner that took over afterwards doesn't know of the restart; it counted the tasks of the worker as lost once its own last lease had run out.

The clock of each incarnation begins at 0, so such a call has extended the lease to the maximal call delay and the longest lease at most. Every owner now waits until the worker's clock has passed that. A worker that has run for longer is lost as early as before; a younger one at most that long after its start.

--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -212,7 +212,7 @@
     /// Marks the tasks of unresponsive workers as lost once their leases have run out.
     pub(super) fn expire_leases(&mut self, now: Duration) {
         // The clock of each incarnation begins at 0. A call meant for an earlier incarnation may have given this one
-        // the longest lease.
+        // the longest lease, also if it was the call of an earlier owner.
         let stray_period = self.opt.max_call_delay + self.opt.max_lease;
         let expired = |w: &Worker| {
             let Some(clock) = w.min_clock_ms(now) else {
@@ -221,7 +221,7 @@
                 return since
                     .is_some_and(|d| d > stray_period + stray_period / STRAY_MARGIN_DIVISOR);
             };
-            let lease_to = w.lease_to_ms.max(w.restarted_at.map_or(0, |_| millis(stray_period)));
+            let lease_to = w.lease_to_ms.max(millis(stray_period));
             clock > lease_to + LEASE_MARGIN_MS
         };
         let unresponsive =
--- a/crates/catkin-cell/tests/cell/restarts.rs
+++ b/crates/catkin-cell/tests/cell/restarts.rs
@@ -1,11 +1,12 @@
 //! Restarts of workers whose calls of before may still arrive.
 
-use crate::fixture::{FIRST_INCARNATION, Fixture, entry};
+use crate::fixture::{FIRST_INCARNATION, Fixture, entry, first_task};
 use crate::owner::step;
 use catkin_cell::Progress;
 use catkin_cell::action::StoredJob;
 use catkin_cell::job::Job;
 use catkin_cell::progress::StepProgress;
+use catkin_cell::worker::Reply;
 use std::time::Duration;
 
 #[test]
@@ -30,3 +31,20 @@
     f.tick();
     assert_eq!(f.take_starts().len(), 1);
 }
+
+#[test]
+fn task_lost_while_a_call_to_an_earlier_incarnation_extends_its_lease() {
+    let mut f = Fixture::new(1);
+    f.accept(1, "batch", vec![step(1, 1_000, 60_000)]);
+    f.tick();
+    let starts = f.take_starts();
+    f.reply(&starts, Reply::Done);
+    f.report(0, FIRST_INCARNATION, &[(first_task(1), starts[0].run)]);
+    // The worker's clock shows about one second, so a call to its last incarnation may have reached this one.
+    let idx = f.worker(0);
+    f.cell.handle_missed_poll(idx);
+    f.run(Duration::from_secs(8));
+    assert_eq!(f.cell.counts().lost, 0);
+    f.run(Duration::from_secs(4));
+    assert_eq!(f.cell.counts().lost, 1);
+}
