cell: no room is kept free while less than half of a service's capacity is reserved

What callers would see: an accepted job that waits for seconds although there is room for it twice over and most of the service is free. Two kinds of room are withheld: as much on each worker as recent urgent jobs needed, and, for gangs that wait with a higher rank, the workers that will have room for them first, however long the tasks there still run.

Room is now only kept once half of the capacity of the service's usable workers is reserved (the largest part over all resources). Below that, urgent tasks and gangs find room elsewhere; a wide gang may wait longer for workers that are empty enough.

--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -9,7 +9,7 @@
 use catkin_place::score::balanced_fit;
 use catkin_types::Resources;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,12 +32,16 @@
     /// Room that is kept free for gangs with a higher rank.
     gang_room: HashMap<WorkerIndex, Resources>,
     gang_count: usize,
+    /// The services that have so little free room that some is kept for urgent tasks and for gangs.
+    scarce_services: HashSet<String>,
     /// How many more steps may send requests to the adviser in this pass.
     advice_budget: usize,
 }
 
 /// Upper bound on the gangs for which room is kept at a time.
 const MAX_KEPT_GANGS: usize = 6;
+/// Room is kept free once this fraction of a service's capacity is reserved.
+const SCARCE_FRACTION: f64 = 0.5;
 
 impl Cell {
     /// Reserves room for the waiting steps in order of rank, and starts the tasks that are ready.
@@ -54,7 +58,8 @@
         order.sort_unstable();
         let pending = self.waiting_steps.iter().filter(|r| self.is_advice_pending(**r)).count();
         let advice_budget = self.opt.max_pending_advice.saturating_sub(pending);
-        let mut pass = Pass { advice_budget, ..Pass::default() };
+        let scarce_services = self.scarce_services(now);
+        let mut pass = Pass { advice_budget, scarce_services, ..Pass::default() };
         for (_, r) in order {
             self.schedule_step(r, &mut pass, now, out);
         }
@@ -101,7 +106,7 @@
         if !plan.is_empty() {
             let step_def = step_def.clone();
             self.reserve(r, &step_def, plan, now);
-        } else if step_def.gang && pass.gang_count < MAX_KEPT_GANGS {
+        } else if step_def.gang && pass.gang_count < MAX_KEPT_GANGS && self.is_scarce(r, pass) {
             pass.gang_count += 1;
             self.keep_gang_room(step_def, step, &eligible, pass);
         }
@@ -128,6 +133,32 @@
         q.is_some_and(|q| q.advice.is_some())
     }
 
+    fn service(&self, r: StepRef) -> Option<&String> {
+        let j = self.jobs.get(&r.job)?;
+        Some(self.queues.get(&j.job.queue).map_or(&j.job.service, |q| &q.service))
+    }
+
+    fn is_scarce(&self, r: StepRef, pass: &Pass) -> bool {
+        self.service(r).is_some_and(|s| pass.scarce_services.contains(s))
+    }
+
+    /// Returns the services of whose usable workers a large part is reserved.
+    fn scarce_services(&self, now: Duration) -> HashSet<String> {
+        let mut sums: BTreeMap<&String, (Resources, Resources)> = BTreeMap::new();
+        for idx in self.worker_indices().filter(|idx| self.is_usable(*idx, now)) {
+            let w = self.worker(idx);
+            let (used, all) = sums.entry(&w.info.service).or_default();
+            *used = used.saturating_add(&w.host.declared);
+            *all = all.saturating_add(&w.host.capacity);
+        }
+        let scarce =
+            |(used, all): &(Resources, Resources)| used.dominant_fraction(all) >= SCARCE_FRACTION;
+        sums.into_iter()
+            .filter(|(_, sum)| scarce(sum))
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
     /// Returns the usable workers of the step's service that have the required label.
     fn eligible(
         &self,
@@ -136,8 +167,7 @@
         pass: &mut Pass,
         now: Duration,
     ) -> Arc<WorkerSet> {
-        let Some(j) = self.jobs.get(&r.job) else { return Arc::default() };
-        let service = self.queues.get(&j.job.queue).map_or(&j.job.service, |q| &q.service);
+        let Some(service) = self.service(r) else { return Arc::default() };
         let key = (service.clone(), step_def.label.clone());
         if let Some(set) = pass.worker_sets.get(&key) {
             return Arc::clone(set);
@@ -172,7 +202,11 @@
         }
         let cap = if step_def.max_per_worker > 0 { step_def.max_per_worker } else { u32::MAX };
         let demand = step_def.demand();
-        let headroom = self.urgent_headroom(r, step_def);
+        let headroom = if self.is_scarce(r, pass) {
+            self.urgent_headroom(r, step_def)
+        } else {
+            Resources::default()
+        };
         let candidate = |idx: WorkerIndex| {
             let max_tasks = cap.saturating_sub(assigned.get(&idx).copied().unwrap_or(0));
             let kept_for_gangs = pass.gang_room.get(&idx).copied().unwrap_or_default();
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -25,6 +25,8 @@
 /// The time within which a task has to be started again once nothing of it can run any more.
 const RESTART_BOUND: Duration = Duration::from_secs(14);
 
+/// How long a job may wait while there is room for it twice over and most of the cell is free.
+const MAX_IDLE: Duration = Duration::from_secs(3);
 /// How long a worker takes to stop a task.
 const STOP_TIME: Duration = Duration::from_millis(900);
 
@@ -260,3 +262,36 @@
     f.run(RESTART_BOUND);
     assert!(f.take_starts().iter().any(|s| s.task.step.job == 100), "{:?}", f.cell.explain(100));
 }
+
+/// Keeps the workers as busy as they are: each lists what it was ordered to start.
+fn carry_out(f: &mut Fixture, running: &mut BTreeMap<Task, (usize, u32)>) {
+    let starts = f.take_starts();
+    running.extend(starts.iter().map(|s| (s.task, (s.worker.index(), s.run))));
+    f.reply(&starts, Reply::Done);
+    for idx in f.cell.worker_indices() {
+        let here = running.iter().filter(|(_, (at, _))| *at == idx.index());
+        let here: Vec<_> = here.map(|(task, (_, run))| (*task, *run)).collect();
+        f.report(idx.index(), FIRST_INCARNATION, &here);
+    }
+}
+
+#[test]
+fn task_kept_waiting_by_the_room_for_urgent_ones_in_a_nearly_empty_cell() {
+    let mut f = Fixture::new(4);
+    let mut running = BTreeMap::new();
+    f.accept(1, "urgent", vec![Step { max_per_worker: 1, ..step(4, 1_500, 60_000) }]);
+    for id in 2..60 {
+        f.accept(id, "urgent", vec![step(1, 2_000, 100)]);
+        f.cell.cancel(id, &mut f.out);
+    }
+    f.tick();
+    carry_out(&mut f, &mut running);
+    assert_eq!(running.len(), 4);
+    f.accept(100, "batch", vec![step(1, 1_500, 1_000)]);
+    let end = f.now + MAX_IDLE;
+    while f.now < end {
+        f.tick();
+        carry_out(&mut f, &mut running);
+    }
+    assert!(running.contains_key(&first_task(100)), "{:?}", f.cell.explain(100));
+}
