--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -59,7 +59,7 @@
         let pending = self.waiting_steps.iter().filter(|r| self.is_advice_pending(**r)).count();
         let advice_budget = self.opt.max_pending_advice.saturating_sub(pending);
         let scarce_services = self.scarce_services(now);
-        let mut pass = Pass { advice_budget, scarce_services, ..Pass::default() };
+        let mut pass = Pass { scarce_services, advice_budget, ..Pass::default() };
         for (_, r) in order {
             self.schedule_step(r, &mut pass, now, out);
         }
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -341,11 +341,10 @@
             let never_starts = report.clock_ms > assignment.start_by_ms;
             match assignment.phase {
                 Phase::Running if assignment.since < sent => lost_tasks.push(*task),
-                Phase::Reserved | Phase::Running => {}
                 Phase::Starting | Phase::Unknown | Phase::Stopping if never_starts => {
                     lost_tasks.push(*task);
                 }
-                Phase::Starting => {}
+                Phase::Reserved | Phase::Running | Phase::Starting => {}
                 Phase::Stopping => {
                     if assignment.stop_acked_at.is_some_and(|at| at < sent) {
                         lost_tasks.push(*task);
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -116,7 +116,7 @@
     f.report(0, FIRST_INCARNATION, &[(starts[0].task, starts[0].run)]);
     f.tick();
     let s = next_start(&mut f, |f| f.report(0, FIRST_INCARNATION - 1, &[]));
-    f.reply(&[s.clone()], Reply::Done);
+    f.reply(std::slice::from_ref(&s), Reply::Done);
     f.report(0, FIRST_INCARNATION - 1, &[(s.task, s.run)]);
     // The entry in the list and an answer to an old poll still name the earlier incarnation.
     f.cell.update_workers(vec![entry(0, FIRST_INCARNATION)], false, f.now);
