Tests of the cell: a model of liveness, in which any faults end and every step that fits has to start

The world of the cell's tests gains workers that leave for good, drain first or give their address to another one, that join, come back with a lower incarnation, decline starts, and whose entry is missing from the list for seconds; answers that are late or arrive twice; outages of the table; an adviser that takes one call at a time from each caller and seconds for some; two queues.

All earlier tests and their checks stay. Calls are now addressed as a worker's entry says, so 421 occurs; a long poll is dropped with the incarnation at which it waits.

--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod fixture;
 mod liveness;
 mod owner;
+mod quiet;
 mod restarts;
 mod worker;
 mod world;
--- a/crates/catkin-cell/tests/cell/worker.rs
+++ b/crates/catkin-cell/tests/cell/worker.rs
@@ -6,12 +6,16 @@
     EndReason, Reply, RunningTask, TaskEnd, WorkerInfo, WorkerReport, millis,
 };
 use catkin_cell::{Start, Stop, Task};
-use catkin_types::{Epoch, Resources};
+use catkin_types::{Epoch, Incarnation, Resources};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long a worker takes to stop a task.
 const STOP_TIME: Duration = Duration::from_millis(300);
+/// How long the member of a gang waits for the others.
+pub const GANG_WAIT: Duration = Duration::from_secs(3);
+/// The incarnation in which workers begin.
+const FIRST_INCARNATION: Incarnation = 1_000;
 
 #[derive(Clone, Debug)]
 pub struct TaskRun {
@@ -20,6 +24,8 @@
     pub began: Duration,
     pub ends: Duration,
     pub reason: EndReason,
+    /// The work of a gang's member that waits for the others.
+    pub waits_with: Option<Duration>,
 }
 
 impl TaskRun {
@@ -49,6 +55,8 @@
     /// By how many thousandths the worker's clock is slow.
     pub clock_lag_per_mille: u32,
     pub reachable: bool,
+    /// Whether the worker declines all starts.
+    pub declines_starts: bool,
     newest_epoch: Epoch,
     pub lease_to_ms: u64,
     pub running: BTreeMap<Task, TaskRun>,
@@ -62,7 +70,7 @@
         let info = WorkerInfo {
             id: format!("w{n}"),
             addr: format!("10.0.0.{n}:1"),
-            incarnation: 1,
+            incarnation: FIRST_INCARNATION,
             service: "s".into(),
             zone: "z".into(),
             rack: format!("rack-{}", n / 4),
@@ -75,6 +83,7 @@
             started: Duration::ZERO,
             clock_lag_per_mille: 0,
             reachable: true,
+            declines_starts: false,
             newest_epoch: 0,
             lease_to_ms: 0,
             running: BTreeMap::new(),
@@ -102,12 +111,19 @@
 
     /// Ends all tasks and starts a new incarnation.
     pub fn crash(&mut self, now: Duration) {
-        let incarnation = self.info.incarnation + 1;
-        let capacity = self.info.capacity;
-        let n: usize = self.info.id[1..].parse().expect("the name ends in a number");
-        *self = Self::new(n, capacity);
-        self.info.incarnation = incarnation;
-        self.started = now;
+        self.restart(self.info.incarnation + 1, now);
+    }
+
+    /// Ends all tasks and starts the given incarnation.
+    pub fn restart(&mut self, incarnation: Incarnation, now: Duration) {
+        let info = WorkerInfo { incarnation, draining: false, ..self.info.clone() };
+        *self = Self { info, started: now, ..Self::new(0, Resources::default()) };
+    }
+
+    /// Ends all tasks and puts a worker with another identifier at the address.
+    pub fn replace(&mut self, now: Duration) {
+        self.info.id.push('x');
+        self.crash(now);
     }
 
     fn end(&mut self, task: Task, reason: EndReason, facts: &mut Vec<Fact>) {
@@ -171,6 +187,9 @@
         if s.start_by_ms <= self.clock_ms(now) {
             return Reply::Late;
         }
+        if self.declines_starts {
+            return Reply::NotRun;
+        }
         self.extend_lease(s.start_by_ms, now);
         if self.running.get(&s.task).is_some_and(|r| r.number == s.run) {
             return Reply::Done;
--- a/crates/catkin-cell/tests/cell/world/checks.rs
+++ b/crates/catkin-cell/tests/cell/world/checks.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    fn is_gang_task(&self, task: Task) -> bool {
+    pub(super) fn is_gang_task(&self, task: Task) -> bool {
         self.accepted[&task.step.job].steps[task.step.step as usize].gang
     }
 
--- a/crates/catkin-cell/tests/cell/world/events.rs
+++ b/crates/catkin-cell/tests/cell/world/events.rs
@@ -4,15 +4,48 @@
 use crate::worker::TaskRun;
 use catkin_cell::cell::AdviceAnswer::{Eligible, Unavailable};
 use catkin_cell::worker::{EndReason, Reply, WorkerIndex, WorkerReport};
-use catkin_cell::{Action, AdviceRequest, Start, Stop, Write};
-use catkin_types::Epoch;
+use catkin_cell::{Action, AdviceRequest, Start, StepRef, Stop, Write};
+use catkin_types::{Epoch, Incarnation, WorkerId};
 use std::time::Duration;
 
+/// How long the sender of an order waits for the answer.
+pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long the sender of a poll waits for the answer.
+const POLL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// An order on its way to a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub epoch: Epoch,
+    /// The worker at the address that the order is sent to.
+    pub n: usize,
+    /// The worker that the order is meant for.
+    pub id: WorkerId,
+    pub answered: bool,
+    /// The incarnation that has received an order which it carries out late.
+    pub receiver: Option<Incarnation>,
+}
+
+/// A poll on its way to a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Poll {
+    pub idx: WorkerIndex,
+    pub epoch: Epoch,
+    pub n: usize,
+    pub id: WorkerId,
+    pub sent: Duration,
+    pub lease_to_ms: Option<u64>,
+    pub acknowledged: u64,
+    /// The poll waits at the worker until this time, unless a task has ended.
+    pub wait_until: Duration,
+    /// The incarnation at which the poll waits.
+    pub receiver: Option<Incarnation>,
+}
+
 pub(super) enum Event {
-    DeliverStart(Start, Epoch, bool, Option<u64>),
-    DeliverStop(Stop, Epoch, bool, Option<u64>),
-    /// The poll waits at the worker until the last time, unless a task has ended.
-    DeliverPoll(WorkerIndex, Epoch, Duration, Option<u64>, u64, Duration),
+    DeliverStart(Start, Call),
+    DeliverStop(Stop, Call),
+    DeliverPoll(Poll),
     StartReply(Start, Epoch, Reply),
     StopReply(Stop, Epoch, Reply),
     PollReply(WorkerIndex, Epoch, Duration, Option<Result<WorkerReport, Reply>>),
@@ -26,77 +59,125 @@
         self.events.insert((when, self.seq), event);
     }
 
-    pub(super) fn deliver_start(&mut self, s: Start, epoch: Epoch, answered: bool) {
+    /// Returns whether an order was received by an earlier incarnation of the worker and dropped with it.
+    fn is_dropped(&self, call: &Call) -> bool {
+        call.receiver.is_some_and(|receiver| receiver != self.workers[call.n].info.incarnation)
+    }
+
+    /// Sends the answer to an order, at times twice.
+    fn answer(&mut self, call: &Call, reply: impl Fn(Epoch) -> Event) {
+        if !call.answered {
+            return;
+        }
+        let when = self.now + self.answer_delay();
+        self.schedule_event(when, reply(call.epoch));
+        if self.chance(self.faults.answer_late) {
+            let again = when + self.answer_delay();
+            self.schedule_event(again, reply(call.epoch));
+        }
+    }
+
+    fn deliver_start(&mut self, s: Start, call: &Call) {
         let now = self.now;
-        let (n, unreachable) = self.worker_reachability(s.worker);
-        if unreachable {
-            if answered {
-                let when = now + Duration::from_millis(600);
-                self.schedule_event(when, Event::StartReply(s, epoch, Reply::Unknown));
+        if self.is_unreachable(call.n) {
+            if call.answered {
+                let unknown = Event::StartReply(s, call.epoch, Reply::Unknown);
+                self.schedule_event(now + ORDER_TIMEOUT, unknown);
             }
             return;
         }
+        if call.id != self.workers[call.n].info.id {
+            self.answer(call, |epoch| Event::StartReply(s.clone(), epoch, Reply::OtherLife));
+            return;
+        }
+        let run = self.task_run(&s);
+        let step = self.accepted[&s.task.step.job].steps[s.task.step.step as usize].clone();
+        let mut facts = Vec::new();
+        let reply = self.workers[call.n].start(&s, call.epoch, &step, &run, now, &mut facts);
+        self.record_facts(call.n, facts);
+        self.answer(call, |epoch| Event::StartReply(s.clone(), epoch, reply));
+    }
+
+    /// Decides how long a task will run and how it will end.
+    fn task_run(&mut self, s: &Start) -> TaskRun {
         let step = self.accepted[&s.task.step.job].steps[s.task.step.step as usize].clone();
         let ms = step.estimate_ms / 2 + self.random() % step.estimate_ms.max(1);
-        let ms = ms * u64::from(self.faults.duration_factor.max(1));
+        let work = Duration::from_millis(ms * u64::from(self.faults.duration_factor.max(1)));
         let reason =
             if self.chance(self.faults.task_failure) { EndReason::Failed } else { EndReason::Done };
-        let run = TaskRun {
+        TaskRun {
             number: s.run,
             size: step.size,
-            began: now,
-            ends: now + Duration::from_millis(ms),
+            began: self.now,
+            ends: if step.gang { Duration::MAX } else { self.now + work },
             reason,
+            waits_with: step.gang.then_some(work),
+        }
+    }
+
+    fn deliver_stop(&mut self, s: Stop, call: &Call) {
+        let now = self.now;
+        if self.is_unreachable(call.n) {
+            if call.answered {
+                let unknown = Event::StopReply(s, call.epoch, Reply::Unknown);
+                self.schedule_event(now + ORDER_TIMEOUT, unknown);
+            }
+            return;
+        }
+        let is_meant = call.id == self.workers[call.n].info.id;
+        let reply = if is_meant {
+            self.workers[call.n].stop(&s, call.epoch, now)
+        } else {
+            Reply::OtherLife
         };
-        let mut facts = Vec::new();
-        let reply = self.workers[n].start(&s, epoch, &step, &run, now, &mut facts);
-        self.record_facts(n, facts);
-        if answered {
-            let when = now + self.delay();
-            self.schedule_event(when, Event::StartReply(s, epoch, reply));
+        self.answer(call, |epoch| Event::StopReply(s.clone(), epoch, reply));
+    }
+
+    fn deliver_poll(&mut self, poll: Poll) {
+        let now = self.now;
+        let incarnation = self.workers[poll.n].info.incarnation;
+        let is_dropped = poll.receiver.is_some_and(|receiver| receiver != incarnation);
+        if self.is_unreachable(poll.n) || is_dropped {
+            let missed = Event::PollReply(poll.idx, poll.epoch, poll.sent, None);
+            self.schedule_event(now + POLL_TIMEOUT, missed);
+            return;
+        }
+        let report = if poll.id == self.workers[poll.n].info.id {
+            let mut facts = Vec::new();
+            let w = &mut self.workers[poll.n];
+            let report = w.poll(poll.epoch, poll.lease_to_ms, poll.acknowledged, now, &mut facts);
+            self.record_facts(poll.n, facts);
+            report
+        } else {
+            Err(Reply::OtherLife)
+        };
+        if now < poll.wait_until && report.as_ref().is_ok_and(|r| r.ended.is_empty()) {
+            // The worker has renewed its lease and dropped the acknowledged ends when the poll arrived.
+            let receiver = Some(incarnation);
+            let waiting = Poll { receiver, lease_to_ms: None, acknowledged: 0, ..poll };
+            self.schedule_event(now + TICK, Event::DeliverPoll(waiting));
+            return;
         }
+        let when = now + self.answer_delay();
+        let reply = Event::PollReply(poll.idx, poll.epoch, poll.sent, Some(report));
+        self.schedule_event(when, reply);
+    }
+
+    /// Returns whether the adviser allows the worker for the step.
+    pub(super) fn is_eligible(&self, r: StepRef, worker: &str) -> bool {
+        let seed = (r.job + u64::from(r.step)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let n = worker.bytes().map(u64::from).fold(seed, |a, b| a.wrapping_mul(31) + b);
+        n.is_multiple_of(self.allow_one_in)
     }
 
     pub(super) fn handle(&mut self, event: Event) {
         let now = self.now;
         match event {
-            Event::DeliverStart(s, _, _, receiver) if self.is_dropped(s.worker, receiver) => {}
-            Event::DeliverStop(s, _, _, receiver) if self.is_dropped(s.worker, receiver) => {}
-            Event::DeliverStart(s, epoch, answered, _) => self.deliver_start(s, epoch, answered),
-            Event::DeliverStop(s, epoch, answered, _) => {
-                let (n, unreachable) = self.worker_reachability(s.worker);
-                if unreachable {
-                    if answered {
-                        let when = now + Duration::from_millis(600);
-                        self.schedule_event(when, Event::StopReply(s, epoch, Reply::Unknown));
-                    }
-                    return;
-                }
-                let reply = self.workers[n].stop(&s, epoch, now);
-                if answered {
-                    let when = now + self.delay();
-                    self.schedule_event(when, Event::StopReply(s, epoch, reply));
-                }
-            }
-            Event::DeliverPoll(idx, epoch, sent, lease, acknowledged, wait_until) => {
-                let (n, unreachable) = self.worker_reachability(idx);
-                if unreachable {
-                    let when = now + Duration::from_millis(700);
-                    self.schedule_event(when, Event::PollReply(idx, epoch, sent, None));
-                    return;
-                }
-                let mut facts = Vec::new();
-                let report = self.workers[n].poll(epoch, lease, acknowledged, now, &mut facts);
-                self.record_facts(n, facts);
-                if now < wait_until && report.as_ref().is_ok_and(|r| r.ended.is_empty()) {
-                    let poll =
-                        Event::DeliverPoll(idx, epoch, sent, lease, acknowledged, wait_until);
-                    self.schedule_event(now + TICK, poll);
-                    return;
-                }
-                let when = now + self.delay();
-                self.schedule_event(when, Event::PollReply(idx, epoch, sent, Some(report)));
-            }
+            Event::DeliverStart(_, call) | Event::DeliverStop(_, call)
+                if self.is_dropped(&call) => {}
+            Event::DeliverStart(s, call) => self.deliver_start(s, &call),
+            Event::DeliverStop(s, call) => self.deliver_stop(s, &call),
+            Event::DeliverPoll(poll) => self.deliver_poll(poll),
             Event::StartReply(s, epoch, reply) => {
                 self.with_owner(epoch, |o, out| o.cell.handle_start_reply(&s, reply, now, out));
             }
@@ -107,27 +188,16 @@
                 o.polls.insert(idx, (false, now));
                 match report {
                     Some(Ok(report)) => o.cell.handle_report(idx, sent, &report, now, out),
+                    Some(Err(Reply::OtherLife)) => o.cell.handle_other_incarnation(idx, now),
                     Some(Err(_)) => out.push(Action::StepDown),
                     None => o.cell.handle_missed_poll(idx),
                 }
             }),
             Event::AdviceReply(request, epoch, success) => {
-                let step = request.step.job + u64::from(request.step.step);
-                let (seed, one_in) = (step.wrapping_mul(0x9E37_79B9_7F4A_7C15), self.allow_one_in);
-                let is_eligible = |w: &&String| {
-                    let n: u64 = w.bytes().map(u64::from).fold(seed, |a, b| a.wrapping_mul(31) + b);
-                    n.is_multiple_of(one_in)
-                };
-                self.with_owner(epoch, |o, _| {
-                    let eligible = request
-                        .workers
-                        .iter()
-                        .filter(is_eligible)
-                        .map(|w| (w.clone(), "t".to_owned()))
-                        .collect();
-                    let advised = if success { Eligible(eligible) } else { Unavailable };
-                    o.cell.handle_advice(&request, advised, now, now);
-                });
+                let eligible = request.workers.iter().filter(|w| self.is_eligible(request.step, w));
+                let eligible = eligible.map(|w| (w.clone(), "t".to_owned())).collect();
+                let advised = if success { Eligible(eligible) } else { Unavailable };
+                self.with_owner(epoch, |o, _| o.cell.handle_advice(&request, advised, now, now));
             }
             Event::Written(epoch, batch) => self.write(epoch, &batch),
         }
--- a/crates/catkin-cell/tests/cell/world/faults.rs
+++ b/crates/catkin-cell/tests/cell/world/faults.rs
@@ -1,7 +1,8 @@
 //! Injected faults.
 
-use super::World;
-use catkin_cell::worker::WorkerIndex;
+use super::{OUTAGE_MS, World};
+use crate::worker::Worker;
+use catkin_cell::worker::WorkerInfo;
 use std::time::Duration;
 
 /// The faults to inject, as chances in a thousand unless stated otherwise.
@@ -11,14 +12,30 @@
     pub answer_lost: u32,
     /// An order gets no answer and is carried out seconds later.
     pub order_late: u32,
+    /// The answer to an order or to a poll arrives up to half a second late, or arrives twice.
+    pub answer_late: u32,
     /// The owner crashes, each second.
     pub owner_crash: u32,
     /// The old owner continues for a while after a takeover.
     pub owner_continues: u32,
     /// A worker crashes, each second.
     pub worker_crash: u32,
+    /// The wall clock of a worker that crashes goes back, so that its next incarnation has a lower number.
+    pub clock_back: u32,
+    /// A worker leaves for good, each second. Some drain first, and the addresses of some are given to others.
+    pub worker_leaves: u32,
+    /// A worker joins, each second.
+    pub worker_joins: u32,
+    /// The entry of a worker is missing from the list for seconds, each second.
+    pub entry_missing: u32,
+    /// A worker declines all starts for seconds, each second.
+    pub worker_declines: u32,
     /// A worker is unreachable for seconds, each second.
     pub partition: u32,
+    /// The table takes no writes for seconds, each second.
+    pub table_outage: u32,
+    /// The adviser takes seconds for its answer.
+    pub advice_late: u32,
     /// A task fails.
     pub task_failure: u32,
     /// By how many thousandths the workers' clocks are slow.
@@ -27,15 +44,41 @@
     pub duration_factor: u32,
 }
 
+/// What faults have done to a worker and to its entry in the list.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Trouble {
+    /// The worker is unreachable until then.
+    pub partitioned_until: Duration,
+    /// The entry is missing from the list until then.
+    pub unlisted_until: Duration,
+    /// The worker declines starts until then.
+    pub declines_until: Duration,
+    /// When the worker leaves for good.
+    pub leaves_at: Option<Duration>,
+    /// Whether the worker has left and no other got its address.
+    pub left: bool,
+}
+
 impl World {
     pub(super) fn chance(&mut self, per_mille: u32) -> bool {
-        self.random() % 1_000 < u64::from(per_mille)
+        per_mille > 0 && self.random() % 1_000 < u64::from(per_mille)
     }
 
     pub(super) fn delay(&mut self) -> Duration {
         Duration::from_millis(1 + self.random() % 40)
     }
 
+    /// Returns the delay of an answer, which is long for some.
+    pub(super) fn answer_delay(&mut self) -> Duration {
+        let late = self.chance(self.faults.answer_late);
+        let delay = self.delay();
+        if late { delay + Duration::from_millis(self.random() % 500) } else { delay }
+    }
+
+    fn outage(&mut self) -> Duration {
+        self.now + Duration::from_millis(500 + self.random() % OUTAGE_MS)
+    }
+
     pub(super) fn inject_faults(&mut self) {
         if !self.now.as_millis().is_multiple_of(1_000) {
             return;
@@ -46,47 +89,96 @@
             let crash_at = if continues { self.now + Duration::from_secs(2) } else { self.now };
             self.take_over(Some(crash_at));
         }
+        if self.chance(rates.table_outage) {
+            self.table_back_at = self.outage();
+        }
+        if self.chance(rates.worker_joins) {
+            let n = self.workers.len();
+            let joined = Worker::new(n, self.workers[0].info.capacity);
+            self.workers.push(joined);
+            self.trouble.push(Trouble::default());
+        }
         for n in 0..self.workers.len() {
-            if self.chance(rates.worker_crash) {
-                self.workers[n].crash(self.now);
-            }
-            if self.chance(rates.partition) {
-                let duration = Duration::from_millis(500 + self.random() % 9_000);
-                self.partitioned_until[n] = self.now + duration;
-            }
+            self.inject_worker_faults(n);
         }
-        let listed: Vec<_> = self.workers.iter().map(|w| w.info.clone()).collect();
+        let listed = self.listed();
         for owner in &mut self.owners {
             owner.cell.update_workers(listed.clone(), false, self.now);
         }
     }
 
-    /// Makes a worker unreachable for good.
-    pub fn disconnect_worker(&mut self, n: usize) {
-        self.workers[n].reachable = false;
+    fn inject_worker_faults(&mut self, n: usize) {
+        if self.trouble[n].left {
+            return;
+        }
+        let rates = self.faults;
+        if self.chance(rates.worker_crash) {
+            let back = self.chance(rates.clock_back);
+            let incarnation = self.workers[n].info.incarnation;
+            self.workers[n].restart(if back { incarnation - 5 } else { incarnation + 1 }, self.now);
+        }
+        if self.chance(rates.partition) {
+            self.trouble[n].partitioned_until = self.outage();
+        }
+        if self.chance(rates.entry_missing) {
+            self.trouble[n].unlisted_until = self.outage();
+        }
+        if self.chance(rates.worker_declines) {
+            self.trouble[n].declines_until = self.outage();
+        }
+        if self.trouble[n].leaves_at.is_none() && self.chance(rates.worker_leaves) {
+            let drains = self.random().is_multiple_of(2);
+            self.workers[n].info.draining = drains;
+            let after = Duration::from_secs(if drains { 2 } else { 0 });
+            self.trouble[n].leaves_at = Some(self.now + after);
+        }
+        if self.trouble[n].leaves_at.is_some_and(|at| at <= self.now) {
+            self.leave(n);
+        }
+        self.workers[n].declines_starts = self.trouble[n].declines_until > self.now;
     }
 
-    pub(super) fn worker_reachability(&self, idx: WorkerIndex) -> (usize, bool) {
-        // Workers are listed in the order of their indices.
-        let n: usize = idx.to_string().parse().expect("a worker index displays as a number");
-        (n, !self.workers[n].reachable || self.partitioned_until[n] > self.now)
+    /// Removes a worker for good. Its address may go to another one.
+    fn leave(&mut self, n: usize) {
+        let now = self.now;
+        if self.random().is_multiple_of(2) {
+            self.workers[n].replace(now);
+            self.trouble[n] = Trouble::default();
+        } else {
+            self.workers[n].crash(now);
+            self.disconnect_worker(n);
+            self.trouble[n].left = true;
+        }
     }
 
-    /// Returns when an order is carried out, whether it is answered, and the worker's incarnation. The incarnation is
-    /// only given for an order that the worker has received and carries out late: it is dropped if the worker restarts.
-    pub(super) fn plan_delivery(&mut self, idx: WorkerIndex) -> (Duration, bool, Option<u64>) {
-        if self.chance(self.faults.order_late) {
-            let late = Duration::from_millis(700 + self.random() % 5_000);
-            let (n, _) = self.worker_reachability(idx);
-            return (self.now + late, false, Some(self.workers[n].info.incarnation));
+    /// Ends all outages that are under way.
+    pub fn end_outages(&mut self) {
+        self.table_back_at = self.now;
+        for trouble in &mut self.trouble {
+            trouble.partitioned_until = self.now;
+            trouble.unlisted_until = self.now;
+            trouble.declines_until = self.now;
         }
-        let lost = self.chance(self.faults.answer_lost);
-        (self.now + self.delay(), !lost, None)
     }
 
-    /// Returns whether an order was received by an earlier incarnation of the worker and dropped with it.
-    pub(super) fn is_dropped(&self, idx: WorkerIndex, receiver: Option<u64>) -> bool {
-        let (n, _) = self.worker_reachability(idx);
-        receiver.is_some_and(|receiver| receiver != self.workers[n].info.incarnation)
+    /// Returns the list of workers.
+    pub(super) fn listed(&self) -> Vec<WorkerInfo> {
+        let is_listed = |trouble: &Trouble| {
+            // The entry of a worker that has left silently is removed after a while.
+            let removed =
+                trouble.leaves_at.is_some_and(|at| self.now > at + Duration::from_secs(3));
+            trouble.unlisted_until <= self.now && !(trouble.left && removed)
+        };
+        let entries = self.workers.iter().zip(&self.trouble);
+        entries.filter(|(_, t)| is_listed(t)).map(|(w, _)| w.info.clone()).collect()
+    }
+
+    /// Makes a worker unreachable for good.
+    pub fn disconnect_worker(&mut self, n: usize) {
+        self.workers[n].reachable = false;
+    }
+
+    pub(super) fn is_unreachable(&self, n: usize) -> bool {
+        !self.workers[n].reachable || self.trouble[n].partitioned_until > self.now
     }
 }
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -6,7 +6,9 @@
 mod checks;
 mod events;
 mod faults;
+mod gangs;
 mod owners;
+mod quiet;
 mod table;
 
 pub use faults::Faults;
@@ -18,6 +20,7 @@
 use catkin_cell::{Progress, Task};
 use catkin_types::{Epoch, JobId, Resources};
 use events::Event;
+use faults::Trouble;
 use owners::Owner;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -29,13 +32,20 @@
 
 /// How long a long poll waits at a worker.
 const POLL_WAIT: Duration = Duration::from_millis(1_200);
+/// An outage takes half a second more than this at most, in milliseconds.
+const OUTAGE_MS: u64 = 9_000;
 
 pub struct World {
     rng: u64,
     pub now: Duration,
     pub faults: Faults,
     pub workers: Vec<Worker>,
-    partitioned_until: Vec<Duration>,
+    /// What faults have done to each worker.
+    trouble: Vec<Trouble>,
+    /// The table takes no writes before this time.
+    table_back_at: Duration,
+    /// When each caller of the adviser is free for its next call. The adviser is never busy if there are none.
+    pub advice_callers: Vec<Duration>,
     owners: Vec<Owner>,
     epoch: Epoch,
     events: BTreeMap<(Duration, u64), Event>,
@@ -63,6 +73,8 @@
     pub allow_one_in: u64,
     /// Whether polls wait at workers for an end.
     pub long_polls: bool,
+    /// Since when each job has had nothing running although there is room for it.
+    idle_since: BTreeMap<JobId, Duration>,
     pub violations: Vec<String>,
 }
 
@@ -87,7 +99,9 @@
             now: Duration::from_secs(1),
             faults: Faults::default(),
             workers: (0..workers).map(|n| Worker::new(n, capacity)).collect(),
-            partitioned_until: vec![Duration::ZERO; workers],
+            trouble: vec![Trouble::default(); workers],
+            table_back_at: Duration::ZERO,
+            advice_callers: Vec::new(),
             owners: Vec::new(),
             epoch: 0,
             events: BTreeMap::new(),
@@ -108,6 +122,7 @@
             advice_request_sizes: Vec::new(),
             allow_one_in: 1,
             long_polls: false,
+            idle_since: BTreeMap::new(),
             violations: Vec::new(),
         }
     }
@@ -120,8 +135,13 @@
     }
 
     pub fn accept(&mut self, id: JobId, steps: Vec<Step>) {
+        self.accept_to("q", id, steps);
+    }
+
+    /// Accepts a job of the queue `queue`, which is "q" or, if it isn't urgent, "batch".
+    pub fn accept_to(&mut self, queue: &str, id: JobId, steps: Vec<Step>) {
         let job = Job {
-            queue: "q".into(),
+            queue: queue.into(),
             service: "s".into(),
             spec: "x".into(),
             steps,
@@ -160,6 +180,7 @@
         self.now += TICK;
         self.inject_faults();
         self.advance_workers();
+        self.advance_gangs();
         while let Some(((when, _), _)) = self.events.first_key_value() {
             if *when > self.now {
                 break;
--- a/crates/catkin-cell/tests/cell/world/owners.rs
+++ b/crates/catkin-cell/tests/cell/world/owners.rs
@@ -1,11 +1,11 @@
 //! Owners: takeovers, the actions that they request, and the calls that they send.
 
-use super::events::Event;
+use super::events::{Call, Event, ORDER_TIMEOUT, Poll};
 use super::{POLL_WAIT, REQUESTED_LEASE, World};
 use catkin_cell::action::StoredJob;
 use catkin_cell::worker::{Reply, WorkerIndex};
-use catkin_cell::{Action, Cell, Options, Start, Stop};
-use catkin_types::Epoch;
+use catkin_cell::{Action, Cell, Options, Queue, Start, Stop};
+use catkin_types::{Epoch, WorkerId};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -32,13 +32,14 @@
             ..Options::default()
         };
         let mut cell = Cell::new(opt, self.epoch, self.now);
-        cell.configure([("q".to_owned(), self.queue.clone())]);
+        let not_urgent = Queue { priority: 1, ..self.queue.clone() };
+        cell.configure([("q".to_owned(), self.queue.clone()), ("batch".to_owned(), not_urgent)]);
         for (id, job) in &self.jobs {
             let progress = self.progress.get(id).cloned().unwrap_or_default();
             let loaded = StoredJob { job: job.clone(), progress };
             cell.add(*id, loaded, Duration::ZERO, self.now);
         }
-        cell.update_workers(self.workers.iter().map(|w| w.info.clone()).collect(), false, self.now);
+        cell.update_workers(self.listed(), false, self.now);
         self.owners.push(Owner {
             cell,
             epoch: self.epoch,
@@ -68,7 +69,7 @@
                 Action::RequestAdvice(request) => {
                     self.advice_request_sizes.push(request.workers.len());
                     let success = !self.chance(self.faults.answer_lost);
-                    let when = self.now + request.cost + self.delay();
+                    let when = self.advice_answer_at(request.cost);
                     self.schedule_event(when, Event::AdviceReply(request, epoch, success));
                 }
                 Action::Poll(idx) => self.send_poll(idx, epoch, Duration::ZERO),
@@ -77,45 +78,76 @@
         }
     }
 
-    pub(super) fn send_start(&mut self, s: Start, epoch: Epoch) {
-        let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker);
-        if !answered || unreachable {
-            let at = self.now + Duration::from_millis(600);
-            self.schedule_event(at, Event::StartReply(s.clone(), epoch, Reply::Unknown));
+    /// Returns the worker at the address to which the owner sends its calls for `idx`, and the worker that is meant.
+    fn target(&self, idx: WorkerIndex, epoch: Epoch) -> Option<(usize, WorkerId)> {
+        let owner = self.owners.iter().find(|owner| owner.epoch == epoch)?;
+        let (id, addr) = owner.cell.contact(idx);
+        let n = self.workers.iter().position(|w| w.info.addr == addr)?;
+        Some((n, id))
+    }
+
+    /// Decides when an order is carried out and whether it is answered. An order that is carried out late is dropped if
+    /// the worker that has received it restarts.
+    fn plan_call(&mut self, idx: WorkerIndex, epoch: Epoch) -> Option<(Duration, Call)> {
+        let (n, id) = self.target(idx, epoch)?;
+        let unreachable = self.is_unreachable(n);
+        if self.chance(self.faults.order_late) {
+            let late = Duration::from_millis(700 + self.random() % 5_000);
+            let receiver = Some(self.workers[n].info.incarnation);
+            return Some((self.now + late, Call { epoch, n, id, answered: false, receiver }));
+        }
+        let answered = !self.chance(self.faults.answer_lost) && !unreachable;
+        Some((self.now + self.delay(), Call { epoch, n, id, answered, receiver: None }))
+    }
+
+    fn send_start(&mut self, s: Start, epoch: Epoch) {
+        let Some((when, call)) = self.plan_call(s.worker, epoch) else { return };
+        if !call.answered {
+            let unknown = Event::StartReply(s.clone(), epoch, Reply::Unknown);
+            self.schedule_event(self.now + ORDER_TIMEOUT, unknown);
         }
-        self.schedule_event(
-            when,
-            Event::DeliverStart(s, epoch, answered && !unreachable, receiver),
-        );
+        self.schedule_event(when, Event::DeliverStart(s, call));
     }
 
-    pub(super) fn send_stop(&mut self, s: Stop, epoch: Epoch) {
-        let (when, answered, receiver) = self.plan_delivery(s.worker);
-        let (_, unreachable) = self.worker_reachability(s.worker);
-        if !answered || unreachable {
-            let at = self.now + Duration::from_millis(600);
-            self.schedule_event(at, Event::StopReply(s.clone(), epoch, Reply::Unknown));
+    fn send_stop(&mut self, s: Stop, epoch: Epoch) {
+        let Some((when, call)) = self.plan_call(s.worker, epoch) else { return };
+        if !call.answered {
+            let unknown = Event::StopReply(s.clone(), epoch, Reply::Unknown);
+            self.schedule_event(self.now + ORDER_TIMEOUT, unknown);
         }
-        self.schedule_event(when, Event::DeliverStop(s, epoch, answered && !unreachable, receiver));
+        self.schedule_event(when, Event::DeliverStop(s, call));
     }
 
-    pub(super) fn send_poll(&mut self, idx: WorkerIndex, epoch: Epoch, wait: Duration) {
+    fn send_poll(&mut self, idx: WorkerIndex, epoch: Epoch, wait: Duration) {
         let now = self.now;
+        let Some((n, id)) = self.target(idx, epoch) else { return };
         let Some(owner) = self.owners.iter_mut().find(|owner| owner.epoch == epoch) else { return };
         let params = owner.cell.poll_params(idx, now);
         let when = now + self.delay();
-        self.schedule_event(
-            when,
-            Event::DeliverPoll(
-                idx,
-                epoch,
-                now,
-                params.lease_to_ms,
-                params.acknowledged,
-                when + wait,
-            ),
-        );
+        let poll = Poll {
+            idx,
+            epoch,
+            n,
+            id,
+            sent: now,
+            lease_to_ms: params.lease_to_ms,
+            acknowledged: params.acknowledged,
+            wait_until: when + wait,
+            receiver: None,
+        };
+        self.schedule_event(when, Event::DeliverPoll(poll));
+    }
+
+    /// Returns when the adviser answers. It takes one call at a time from each caller.
+    fn advice_answer_at(&mut self, cost: Duration) -> Duration {
+        let late = self.chance(self.faults.advice_late);
+        let extra = Duration::from_millis(if late { self.random() % 4_000 } else { 0 });
+        let (now, delay) = (self.now, self.delay());
+        let Some(free_at) = self.advice_callers.iter_mut().min() else {
+            return now + cost + extra + delay;
+        };
+        *free_at = (*free_at).max(now) + cost + extra;
+        *free_at + delay
     }
 
     pub(super) fn tick_owners(&mut self) {
@@ -130,7 +162,8 @@
                 owner.cell.tick(now, out);
                 for idx in owner.cell.worker_indices() {
                     let (waiting, last) = owner.polls.get(&idx).copied().unwrap_or_default();
-                    if !waiting && now >= last + Duration::from_millis(50) {
+                    let is_due = !waiting && now >= last + Duration::from_millis(50);
+                    if is_due && !owner.cell.can_stop_polling(idx, now) {
                         owner.polls.insert(idx, (true, now));
                         let may_wait = long_polls && owner.cell.may_wait_at_worker(idx);
                         due.insert(idx, if may_wait { POLL_WAIT } else { Duration::ZERO });
@@ -145,7 +178,7 @@
                 self.send_poll(idx, epoch, wait);
             }
             if !batch.is_empty() {
-                let when = now + self.delay();
+                let when = now.max(self.table_back_at) + self.delay();
                 self.schedule_event(when, Event::Written(epoch, batch));
             }
         }
