--- a/crates/catkin-bench/src/load/world.rs
+++ b/crates/catkin-bench/src/load/world.rs
@@ -225,7 +225,7 @@
         let Self { cell, dispatcher, .. } = self;
         dispatcher.retain(|a| cell.is_open(a.step.job));
         let now = self.now;
-        for (request, by) in dispatcher.dispatch(now, |a| cell.confirm_advice(a, now)) {
+        for (request, by) in dispatcher.dispatch(now, |a| cell.request_to_send(a, now)) {
             let free_at = self.callers.entry(by).or_default();
             *free_at = (*free_at).max(self.now) + request.cost;
             self.outcome.advice_time += request.cost;
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -1,7 +1,6 @@
 //! The owner of a cell: its jobs, its workers, and the decisions about them.
 
 mod advice;
-mod confirm;
 mod gang;
 mod held;
 mod jobs;
@@ -10,6 +9,7 @@
 mod place;
 mod plan;
 mod polls;
+mod queued_advice;
 mod rank;
 mod save;
 mod settle;
@@ -130,8 +130,8 @@
     quarantined_workers: HashSet<WorkerIndex>,
     /// Processors that the last scheduling pass kept free for gangs, in thousandths of a core.
     cpu_kept_milli: u64,
-    /// The room that the last scheduling pass kept free for gangs.
-    kept_room: place::KeptRoom,
+    /// The gangs for which the last scheduling pass kept room.
+    kept_gangs: Vec<place::KeptGang>,
     events: Vec<Event>,
     counts: Counts,
 }
@@ -217,7 +217,7 @@
             eligible_shares: HashMap::new(),
             quarantined_workers: HashSet::new(),
             cpu_kept_milli: 0,
-            kept_room: Vec::new(),
+            kept_gangs: Vec::new(),
             events: Vec::new(),
             counts: Counts::default(),
         }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -19,16 +19,21 @@
     worker_sets: HashMap<(String, Option<String>), Arc<WorkerSet>>,
     /// Room that is kept free for gangs with a higher rank.
     gang_room: HashMap<WorkerIndex, Resources>,
-    /// The gangs for which room is kept, with that room.
-    kept: KeptRoom,
+    /// The gangs for which room is kept.
+    kept_gangs: Vec<KeptGang>,
     /// The services that have so little free room that some is kept for urgent tasks and for gangs.
     scarce_services: HashSet<String>,
     /// How many more steps may send requests to the adviser in this pass.
     advice_budget: usize,
 }
 
-/// The gangs for which a pass keeps room, with the workers and the room on each of them.
-pub(super) type KeptRoom = Vec<(StepRef, Vec<(WorkerIndex, Resources)>)>;
+/// A waiting gang for which room is kept.
+#[derive(Debug)]
+pub(super) struct KeptGang {
+    pub step: StepRef,
+    /// The workers, with the room on each of them that is free now or once tasks end.
+    pub room: Vec<(WorkerIndex, Resources)>,
+}
 
 /// Upper bound on the gangs for which room is kept at a time.
 const MAX_KEPT_GANGS: usize = 6;
@@ -58,7 +63,7 @@
         }
         let kept = pass.gang_room.values().map(|kept| kept.cpu_milli);
         self.cpu_kept_milli = kept.fold(0, u64::saturating_add);
-        self.kept_room = pass.kept;
+        self.kept_gangs = pass.kept_gangs;
         let reserved: Vec<StepRef> = self.reserved_steps.iter().copied().collect();
         for r in reserved {
             self.launch(r, now, out);
@@ -99,7 +104,8 @@
         if !ready.is_empty() {
             let step_def = step_def.clone();
             self.reserve(r, &step_def, ready, now);
-        } else if step_def.gang && pass.kept.len() < MAX_KEPT_GANGS && self.is_scarce(r, pass) {
+        } else if step_def.gang && pass.kept_gangs.len() < MAX_KEPT_GANGS && self.is_scarce(r, pass)
+        {
             self.keep_gang_room(r, step_def, step, &eligible, pass);
         }
         self.request_advice(r, to_ask, now, out);
@@ -300,7 +306,8 @@
             let reserved_room = pass.gang_room.entry(*idx).or_default();
             *reserved_room = reserved_room.saturating_add(&demand);
         }
-        pass.kept.push((r, slots.into_iter().map(|(_, idx)| (idx, demand)).collect()));
+        let room = slots.into_iter().map(|(_, idx)| (idx, demand)).collect();
+        pass.kept_gangs.push(KeptGang { step: r, room });
     }
 
     /// Returns the room that a task of a non-urgent step must leave free on a worker for urgent tasks, if the worker
--- a/crates/catkin-cell/src/cell/confirm.rs
+++ b/crates/catkin-cell/src/cell/queued_advice.rs
@@ -18,7 +18,7 @@
 impl Cell {
     /// Returns the request to send in place of a queued one, or `None` if its step needs no advice now. One of several
     /// parallel requests about a step is sent as it was queued.
-    pub fn confirm_advice(
+    pub fn request_to_send(
         &mut self,
         request: AdviceRequest,
         now: Duration,
@@ -27,7 +27,7 @@
         if self.step(r)?.pending_requests > 1 {
             return Some(request);
         }
-        let mut workers = self.workers_to_confirm(r, now);
+        let mut workers = self.reserve_and_list_workers(r, now);
         workers.truncate(MAX_WORKERS_PER_CALL);
         let Some(advice) = self.advice_settings(r).filter(|_| !workers.is_empty()) else {
             self.complete_request(r, now);
@@ -40,7 +40,7 @@
 
     /// Returns the workers to ask about now. If the step fits on workers that it is known to be eligible for, reserves
     /// the room: the answer comes soon.
-    fn workers_to_confirm(&mut self, r: StepRef, now: Duration) -> Vec<WorkerIndex> {
+    fn reserve_and_list_workers(&mut self, r: StepRef, now: Duration) -> Vec<WorkerIndex> {
         if self.reserved_steps.contains(&r) {
             return self.reserved_workers_to_ask(r, now);
         }
@@ -101,8 +101,8 @@
         let is_before = |step: StepRef| {
             self.waiting_steps.contains(&step) && (self.rank(step, now), step) < rank
         };
-        let others = self.kept_room.iter().filter(|(step, _)| is_before(*step));
-        for (idx, kept) in others.flat_map(|(_, kept)| kept) {
+        let before = self.kept_gangs.iter().filter(|kept| is_before(kept.step));
+        for (idx, kept) in before.flat_map(|gang| &gang.room) {
             let sum = room.entry(*idx).or_default();
             *sum = sum.saturating_add(kept);
         }
--- a/crates/catkin-cell/tests/cell/kept_room.rs
+++ b/crates/catkin-cell/tests/cell/kept_room.rs
@@ -46,7 +46,7 @@
     let renewals = requests(&mut cell, START);
     assert_eq!(renewals.len(), 2);
     let sent: Vec<_> =
-        renewals.into_iter().map(|r| cell.confirm_advice(r, START).is_some()).collect();
+        renewals.into_iter().map(|r| cell.request_to_send(r, START).is_some()).collect();
     assert_eq!(sent, [true, true]);
 }
 
@@ -67,7 +67,7 @@
     for _ in 0..100 {
         let renewals = requests(&mut cell, START);
         for r in renewals.into_iter().filter(|r| r.step.job == 1) {
-            if cell.confirm_advice(r, START).is_some() {
+            if cell.request_to_send(r, START).is_some() {
                 return;
             }
             dropped += 1;
--- a/crates/catkin-cell/tests/cell/queued_advice.rs
+++ b/crates/catkin-cell/tests/cell/queued_advice.rs
@@ -91,7 +91,7 @@
 fn with_expired_tickets() -> (Cell, AdviceRequest, Duration) {
     let mut cell = cell(2);
     let first = request(&mut cell, START);
-    let first = cell.confirm_advice(first, START).expect("the gang has no tickets");
+    let first = cell.request_to_send(first, START).expect("the gang has no tickets");
     answer(&mut cell, &first, START);
     let now = START + TICKET_LIFETIME;
     let renewal = request(&mut cell, now);
@@ -108,7 +108,7 @@
 fn no_capacity_is_reserved_while_the_request_for_tickets_waits() {
     let (mut cell, renewal, now) = with_expired_tickets();
     assert_eq!(cell.summary(now).steps_reserved, 0);
-    let sent = cell.confirm_advice(renewal, now).expect("the tickets have run out");
+    let sent = cell.request_to_send(renewal, now).expect("the tickets have run out");
     assert_eq!(cell.summary(now).steps_reserved, 1);
     tick(&mut cell, now);
     write_all(&mut cell, now);
@@ -125,7 +125,7 @@
     assert_eq!(queued.workers.len(), 1);
     let late = cell.worker_indices().nth(1).expect("there are two workers");
     hear(&mut cell, late, START);
-    let sent = cell.confirm_advice(queued, START).expect("the gang has no tickets");
+    let sent = cell.request_to_send(queued, START).expect("the gang has no tickets");
     assert_eq!(sent.workers.len(), 2);
 }
 
@@ -133,7 +133,7 @@
 fn a_request_is_not_sent_once_its_job_is_cancelled() {
     let (mut cell, renewal, now) = with_expired_tickets();
     cell.cancel(GANG, &mut Vec::new());
-    assert_eq!(cell.confirm_advice(renewal, now), None);
+    assert_eq!(cell.request_to_send(renewal, now), None);
 }
 
 #[test]
@@ -142,7 +142,7 @@
     for idx in cell.worker_indices() {
         cell.handle_missed_poll(idx);
     }
-    assert_eq!(cell.confirm_advice(renewal, now), None);
+    assert_eq!(cell.request_to_send(renewal, now), None);
     for idx in cell.worker_indices() {
         hear(&mut cell, idx, now);
     }
--- a/crates/catkin-cell/tests/cell/world/owners.rs
+++ b/crates/catkin-cell/tests/cell/world/owners.rs
@@ -84,7 +84,7 @@
                 Action::RequestAdvice(request) => {
                     let now = self.now;
                     let owner = self.owners.iter_mut().find(|owner| owner.epoch == epoch);
-                    let request = owner.and_then(|owner| owner.cell.confirm_advice(request, now));
+                    let request = owner.and_then(|owner| owner.cell.request_to_send(request, now));
                     let Some(request) = request else { continue };
                     self.advice_request_sizes.push(request.workers.len());
                     let success = !self.chance(self.faults.answer_lost);
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -46,7 +46,7 @@
     fn dispatch_advice_requests(&mut self, now: Duration) {
         let Self { cell, dispatcher, .. } = self;
         dispatcher.retain(|a| cell.is_open(a.step.job));
-        for (request, by) in dispatcher.dispatch(now, |a| cell.confirm_advice(a, now)) {
+        for (request, by) in dispatcher.dispatch(now, |a| cell.request_to_send(a, now)) {
             let (cx, myself) = (std::sync::Arc::clone(&self.cx), self.myself.clone());
             self.spawn(async move {
                 let sent = cx.now();
