KNOWN-RED: an acknowledgement for an earlier life of a worker drops an end of the next; the odd chain fits its job's row

Traced (seed 1888): w0 restarts under its id, takes the start meant for its earlier life at 10.01 s, ends it at 10.51 s; a poll with the old numbers acknowledges that end at 10.59 s, before the owner has read it.

--- a/crates/catkin-cell/tests/cell/quiet.rs
+++ b/crates/catkin-cell/tests/cell/quiet.rs
@@ -123,3 +123,11 @@
 fn steps_that_need_advice_start_within_the_bound() {
     assert_live(seeds(), true);
 }
+
+// A poll to a worker that has restarted acknowledges ends by the numbers of its earlier life.
+#[test]
+fn ends_dropped_by_an_acknowledgement_for_an_earlier_life() {
+    assert_live(1888..=1888, true);
+    assert_live(1545..=1545, false);
+    assert_live(2461..=2461, false);
+}
