--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -12,7 +12,7 @@
 impl Cell {
     /// Marks it to be written that the step may run on `workers` with runs up to `run`. Returns whether that is durable
     /// already.
-    fn record_intent(&mut self, r: StepRef, run: u32, workers: &[WorkerIndex]) -> bool {
+    pub(super) fn record_intent(&mut self, r: StepRef, run: u32, workers: &[WorkerIndex]) -> bool {
         let Some(step) = self.step(r) else { return false };
         let missing: Vec<WorkerId> = workers
             .iter()
@@ -77,7 +77,7 @@
             workers,
             first: !j.steps.iter().any(|s| s.has_started),
             age: now.saturating_sub(j.accepted_at),
-            slack: j.deadline.saturating_sub(step.critical_path + now),
+            slack: j.deadline.saturating_sub(step.critical_path.saturating_add(now)),
             advice: step.advice_time,
         });
     }
@@ -101,17 +101,31 @@
         now: Duration,
         out: &mut Vec<Action>,
     ) -> bool {
-        let margin = self.opt.ticket_margin;
-        let Some(tickets) = self.step(r).and_then(|s| s.tickets.as_ref()) else { return false };
-        let is_valid =
-            |idx: &WorkerIndex| tickets.get(idx).is_some_and(|t| t.valid_until > now + margin);
-        let all = workers.iter().all(is_valid);
+        let all = workers.iter().all(|idx| self.has_valid_ticket(r, *idx, now));
         if !all {
             self.request_advice(r, workers.to_vec(), now, out);
         }
         all
     }
 
+    /// Returns whether the ticket of a worker stays valid until an order arrives there.
+    pub(super) fn has_valid_ticket(&self, r: StepRef, idx: WorkerIndex, now: Duration) -> bool {
+        let ticket = self.step(r).and_then(|s| s.tickets.as_ref()?.get(&idx));
+        ticket.is_some_and(|t| t.valid_until > now + self.opt.ticket_margin)
+    }
+
+    /// Returns the workers with reserved room for a step if any of their tickets has to be renewed.
+    pub(super) fn reserved_workers_to_ask(&self, r: StepRef, now: Duration) -> Vec<WorkerIndex> {
+        let mut workers: Vec<WorkerIndex> =
+            self.reserved_tasks(r).into_iter().map(|(_, idx, _)| idx).collect();
+        workers.sort_unstable();
+        workers.dedup();
+        if workers.iter().all(|idx| self.has_valid_ticket(r, *idx, now)) {
+            workers.clear();
+        }
+        workers
+    }
+
     fn start_task(
         &mut self,
         task: Task,
@@ -132,7 +146,7 @@
         t.run = run;
         let checkpoint = if gang { shared_checkpoint } else { t.checkpoint.clone() };
         let w = self.worker_mut(idx);
-        let start_by_ms = w.estimated_clock_ms(now).unwrap_or(0) + window;
+        let start_by_ms = w.estimated_clock_ms(now).unwrap_or(0).saturating_add(window);
         w.lease_to_ms = w.lease_to_ms.max(start_by_ms);
         let incarnation = w.info.incarnation;
         let Some(assignment) = w.assignments.get_mut(&task) else { return };
@@ -166,6 +180,7 @@
                 continue;
             }
             self.reserved_steps.remove(&r);
+            self.counts.reservations_expired += 1;
             for (task, idx, _) in workers {
                 self.worker_mut(idx).release(&task);
                 self.clear_worker(task);
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -2,13 +2,17 @@
 
 mod advice;
 mod gang;
+mod held;
 mod jobs;
 mod launch;
 mod orders;
 mod place;
+mod plan;
 mod polls;
+mod queued_advice;
 mod rank;
 mod save;
+mod settle;
 mod workers;
 
 pub use advice::AdviceAnswer;
@@ -40,7 +44,8 @@
     pub start_window: Duration,
     /// How long the members of a gang wait at the workers until all of them have started.
     pub gang_wait: Duration,
-    /// How long an earlier owner may have acted without contact to the table service.
+    /// How long after the start of the term owners of earlier terms may act, unless
+    /// [`Cell::limit_earlier_owners`] tells an earlier end.
     pub autonomy: Duration,
     /// The interval at which an order to stop without an answer is sent again.
     pub stop_resend_interval: Duration,
@@ -51,7 +56,8 @@
     pub ticket_margin: Duration,
     /// Upper bound on the steps with a pending request to the adviser.
     pub max_pending_advice: usize,
-    /// How long a worker that declined a start gets no new tasks.
+    /// How long a worker that declined a start gets no new tasks, the first time. It is longer if the worker declines
+    /// the next start too.
     pub decline_pause: Duration,
     /// How long a worker may be missing from the list of workers before it gets no new tasks.
     pub missing_grace: Duration,
@@ -91,7 +97,10 @@
 pub struct Cell {
     opt: Options,
     epoch: Epoch,
-    term_start: Duration,
+    /// From then on no owner of an earlier term acts.
+    earlier_owners_until: Duration,
+    /// When no owner of a later term existed; `None` if that is not tracked.
+    confirmed_at: Option<Duration>,
     /// The time of the last tick.
     now: Duration,
     queues: BTreeMap<String, Queue>,
@@ -104,6 +113,8 @@
     waiting_steps: BTreeSet<StepRef>,
     /// Steps with reserved room.
     reserved_steps: BTreeSet<StepRef>,
+    /// Steps of which tasks were lost since the last tick.
+    steps_with_losses: BTreeSet<StepRef>,
     /// Gangs whose members were started and that are not known to be complete.
     assembling_gangs: BTreeSet<StepRef>,
     /// Jobs with changes that have not been handed out to be written, in the order in which they changed.
@@ -119,6 +130,8 @@
     quarantined_workers: HashSet<WorkerIndex>,
     /// Processors that the last scheduling pass kept free for gangs, in thousandths of a core.
     cpu_kept_milli: u64,
+    /// The gangs for which the last scheduling pass kept room.
+    kept_gangs: Vec<place::KeptGang>,
     events: Vec<Event>,
     counts: Counts,
 }
@@ -138,6 +151,8 @@
     pub declined: u64,
     /// Gangs that were given up because not all members started in time.
     pub gangs_given_up: u64,
+    /// Reservations that were released without a start.
+    pub reservations_expired: u64,
 }
 
 /// The size of the cell and its load at one moment.
@@ -145,6 +160,8 @@
 pub struct Summary {
     /// Jobs whose end is not durable yet.
     pub jobs: usize,
+    /// Those of them that start nothing, because their rows can't be read or were refused.
+    pub jobs_held: usize,
     /// Steps with waiting tasks whose earlier steps have ended.
     pub steps_waiting: usize,
     /// Waiting gangs.
@@ -179,9 +196,10 @@
     pub fn new(opt: Options, epoch: Epoch, now: Duration) -> Self {
         let fleet = HealthTracker::new(opt.health.clone());
         Self {
-            opt,
             epoch,
-            term_start: now,
+            earlier_owners_until: now + opt.autonomy,
+            confirmed_at: None,
+            opt,
             now,
             queues: BTreeMap::new(),
             workers: Vec::new(),
@@ -190,6 +208,7 @@
             ended: HashMap::new(),
             waiting_steps: BTreeSet::new(),
             reserved_steps: BTreeSet::new(),
+            steps_with_losses: BTreeSet::new(),
             assembling_gangs: BTreeSet::new(),
             dirty_jobs: VecDeque::new(),
             settled_workers: HashSet::new(),
@@ -198,6 +217,7 @@
             eligible_shares: HashMap::new(),
             quarantined_workers: HashSet::new(),
             cpu_kept_milli: 0,
+            kept_gangs: Vec::new(),
             events: Vec::new(),
             counts: Counts::default(),
         }
@@ -232,6 +252,7 @@
         }
         Summary {
             jobs: self.jobs.len(),
+            jobs_held: self.jobs.values().filter(|j| j.hold.is_some()).count(),
             steps_waiting: self.waiting_steps.len(),
             gangs_waiting: self.waiting_steps.iter().filter(|r| self.is_gang(**r)).count(),
             steps_unadvised: self.waiting_steps.iter().filter(unadvised).count(),
@@ -259,6 +280,7 @@
     pub fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.now = now;
         self.expire_leases(now);
+        self.record_losses(now);
         self.resend_stops(now, out);
         self.check_gangs(now, out);
         self.expire_reservations(now);
@@ -297,7 +319,7 @@
     fn update_waiting(&mut self, r: StepRef) {
         let is_waiting = self.jobs.get(&r.job).is_some_and(|j| {
             let is_waiting = j.step(r).is_some_and(|s| s.waiting().next().is_some());
-            j.outcome.is_none() && is_waiting && j.is_ready(r)
+            j.outcome.is_none() && j.hold.is_none() && is_waiting && j.is_ready(r)
         });
         if is_waiting {
             self.waiting_steps.insert(r);
--- a/crates/catkin-cell/src/cell/rank.rs
+++ b/crates/catkin-cell/src/cell/rank.rs
@@ -58,15 +58,17 @@
         let Some(step) = j.step(r) else { return last };
         let latest_start = j.deadline.saturating_sub(step.critical_path);
         let objective = j.deadline.saturating_sub(j.accepted_at);
+        let last_useful_end = j.accepted_at.saturating_add(objective.saturating_mul(LATE_FACTOR));
         let timeliness = if now <= latest_start {
             Timeliness::InTime
-        } else if now + step.critical_path <= j.accepted_at + objective * LATE_FACTOR {
+        } else if now.saturating_add(step.critical_path) <= last_useful_end {
             Timeliness::Late
         } else {
             Timeliness::Expired
         };
         let step_def = j.job.steps.get(r.step as usize);
-        let work = step_def.map_or(0, |k| k.size.cpu_milli * k.estimate_ms * step.remaining as u64);
+        let task_work = step_def.map_or(0, |k| k.size.cpu_milli.saturating_mul(k.estimate_ms));
+        let work = task_work.saturating_mul(step.remaining as u64);
         let urgent = self.queues.get(&j.job.queue).is_some_and(|q| q.priority == 0);
         match timeliness {
             Timeliness::InTime => {
--- /dev/null
+++ b/crates/catkin-cell/src/cell/settle.rs
@@ -0,0 +1,68 @@
+//! Tasks that may run unknown to this owner, because an earlier owner started them.
+
+use super::Cell;
+use crate::task::StepRef;
+use std::time::Duration;
+
+/// The waiting time for a lease is extended by this fraction (one part in 10): the worker's clock may be slow, and is
+/// estimated from its last answer.
+const LEASE_MARGIN_DIVISOR: u32 = 10;
+
+impl Cell {
+    /// Records that no owner of an earlier term acts from `until` on, at the latest.
+    pub fn limit_earlier_owners(&mut self, until: Duration) {
+        self.earlier_owners_until = self.earlier_owners_until.min(until);
+    }
+
+    /// Records that no owner of a later term existed at `at`. Without such a call that is taken for granted.
+    pub fn confirm_term(&mut self, at: Duration) {
+        self.confirmed_at = Some(at);
+    }
+
+    /// Records when the tasks of steps were lost that were found to be lost by `now`.
+    pub(super) fn record_losses(&mut self, now: Duration) {
+        for r in std::mem::take(&mut self.steps_with_losses) {
+            if let Some(step) = self.step_mut(r) {
+                step.lost_at = Some(now);
+            }
+        }
+    }
+
+    /// Returns whether no owner of a later term existed when tasks of the step were lost. Such an owner may have renewed
+    /// the lease of their worker, or have seen their ends before the worker restarted.
+    fn are_losses_confirmed(&self, r: StepRef) -> bool {
+        let lost_at = self.step(r).and_then(|s| s.lost_at);
+        self.confirmed_at.is_none_or(|at| lost_at.is_none_or(|lost_at| lost_at <= at))
+    }
+
+    /// Settles the waiting steps of which no task can run unknown to this owner. If no task is assigned either, nothing
+    /// of the step runs, and its recorded workers are removed: later owners need not wait for them.
+    pub(super) fn settle_steps(&mut self, now: Duration) {
+        let wait_over = now > self.earlier_owners_until + self.max_run_time();
+        let steps: Vec<StepRef> = self.waiting_steps.iter().copied().collect();
+        for r in steps {
+            let Self { jobs, settled_workers, .. } = self;
+            let Some(step) = jobs.get_mut(&r.job).and_then(|j| j.step_mut(r)) else { continue };
+            if step.start_workers.is_empty() {
+                continue;
+            }
+            step.unsettled.retain(|w| !wait_over && !settled_workers.contains(w));
+            if step.unsettled.is_empty() && !step.any_assigned() {
+                step.start_workers.clear();
+                self.mark_dirty(r.job);
+            }
+        }
+    }
+
+    /// Returns how long a task can run on without a further call of its owner, at a worker that may have restarted.
+    fn max_run_time(&self) -> Duration {
+        (self.opt.lease + self.opt.lease / LEASE_MARGIN_DIVISOR).max(self.max_stray_period())
+    }
+
+    /// Returns whether no task of the step can run or have ended unknown to this owner. A worker that an earlier owner may
+    /// have used is settled once it answered in this term, or once no earlier owner acts and what they have started last
+    /// has run out.
+    pub(super) fn is_settled(&self, r: StepRef) -> bool {
+        self.step(r).is_some_and(|s| s.unsettled.is_empty()) && self.are_losses_confirmed(r)
+    }
+}
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -37,7 +37,7 @@
         let mut present: Vec<WorkerId> = Vec::with_capacity(listed.len());
         for entry in listed {
             present.push(entry.id.clone());
-            self.update_worker(entry);
+            self.update_worker(entry, now);
         }
         if partial {
             return;
@@ -50,24 +50,32 @@
         }
     }
 
-    fn update_worker(&mut self, entry: WorkerInfo) {
+    fn update_worker(&mut self, entry: WorkerInfo, now: Duration) {
         let idx = if let Some(idx) = self.indices.get(&entry.id) {
             *idx
         } else {
             let idx = WorkerIndex(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
             self.indices.insert(entry.id.clone(), idx);
-            self.workers.push(Worker::default());
+            self.workers.push(Worker { incarnation_known_at: now, ..Worker::default() });
             idx
         };
         let w = self.worker_mut(idx);
         let known_incarnation = w.info.incarnation;
         let incarnation =
             if known_incarnation == 0 { entry.incarnation } else { known_incarnation };
-        let restarted = known_incarnation != 0 && entry.incarnation > known_incarnation;
         let listed_incarnation = entry.incarnation;
+        let listed_before = std::mem::replace(&mut w.listed_incarnation, listed_incarnation);
+        // The entry of an earlier incarnation may stay listed after the worker has answered in a later one. If the list
+        // named the known one until now, the next one may have a lower number, since wall clocks can go back.
+        let is_news = listed_incarnation != 0 && listed_incarnation != listed_before;
+        let is_later = listed_incarnation > known_incarnation || listed_before == known_incarnation;
+        let restarted = known_incarnation != 0 && is_news && is_later;
+        if incarnation != known_incarnation {
+            w.incarnation_known_at = now;
+        }
         w.update_info(WorkerInfo { incarnation, ..entry });
         if restarted {
-            self.restart_worker(idx, listed_incarnation);
+            self.restart_worker(idx, listed_incarnation, now);
         }
     }
 
@@ -109,9 +117,11 @@
         gone && w.assignments.is_empty() && w.missed_polls > 0
     }
 
-    /// Handles an answer that says that the worker is in another incarnation than the known one.
-    pub fn handle_other_incarnation(&mut self, idx: WorkerIndex) {
-        self.restart_worker(idx, 0);
+    /// Handles a poll that another incarnation refused. The poll counts as missed, since the worker may have left for
+    /// good and its address may belong to another one.
+    pub fn handle_other_incarnation(&mut self, idx: WorkerIndex, now: Duration) {
+        self.restart_worker(idx, 0, now);
+        self.handle_missed_poll(idx);
     }
 
     /// Returns the parameters of a poll of a worker at `now`, and records the lease that they request.
@@ -120,7 +130,7 @@
         let w = self.worker_mut(idx);
         // Requests no further lease from a worker that does not answer, so that its last lease runs out.
         let clock = w.estimated_clock_ms(now).filter(|_| w.missed_polls == 0);
-        let lease_to_ms = clock.map(|clock| clock + lease);
+        let lease_to_ms = clock.map(|clock| clock.saturating_add(lease));
         w.lease_to_ms = w.lease_to_ms.max(lease_to_ms.unwrap_or(0));
         PollParams {
             id: w.info.id.clone(),
@@ -143,13 +153,16 @@
             && self.fleet.worker_health(&w.info.id, now) != WorkerHealth::Quarantined
     }
 
-    /// Handles a restart of the worker: the tasks of its last incarnation are lost.
-    pub(super) fn restart_worker(&mut self, idx: WorkerIndex, incarnation: Incarnation) {
-        let now = self.now;
+    /// Handles a restart of the worker: the tasks of its last incarnation are lost. The new one may have taken an order of
+    /// an earlier owner that was meant for the last one, so the worker is not settled before it answers.
+    pub(super) fn restart_worker(
+        &mut self,
+        idx: WorkerIndex,
+        incarnation: Incarnation,
+        now: Duration,
+    ) {
         let w = self.worker_mut(idx);
         let lost = w.begin_incarnation(incarnation, now);
-        let id = w.info.id.clone();
-        self.settled_workers.insert(id);
         for task in lost {
             self.mark_lost(task, idx);
         }
@@ -188,24 +201,34 @@
         if assigned_here {
             self.counts.lost += 1;
             self.events.push(Event::TaskLost { task, worker });
+            self.steps_with_losses.insert(task.step);
             self.clear_worker(task);
         }
     }
 
+    /// Returns how long after it was sent a call that was meant for an earlier incarnation of a worker can keep a task
+    /// running, on the worker's clock. The clock of each incarnation begins at 0, so that such a call gives the longest
+    /// lease.
+    fn stray_period(&self) -> Duration {
+        self.opt.max_call_delay + self.opt.max_lease
+    }
+
+    /// Returns the stray period on the owner's clock, for the slowest clock of a worker.
+    pub(super) fn max_stray_period(&self) -> Duration {
+        self.stray_period() + self.stray_period() / STRAY_MARGIN_DIVISOR
+    }
+
     /// Marks the tasks of unresponsive workers as lost once their leases have run out.
     pub(super) fn expire_leases(&mut self, now: Duration) {
-        // The clock of each incarnation begins at 0. A call meant for an earlier incarnation may have given this one
-        // the longest lease.
-        let stray_period = self.opt.max_call_delay + self.opt.max_lease;
+        let stray_period = self.stray_period();
         let expired = |w: &Worker| {
             let Some(clock) = w.min_clock_ms(now) else {
                 // The worker has not answered in this incarnation.
                 let since = w.restarted_at.map(|at| now.saturating_sub(at));
-                return since
-                    .is_some_and(|d| d > stray_period + stray_period / STRAY_MARGIN_DIVISOR);
+                return since.is_some_and(|d| d > self.max_stray_period());
             };
-            let lease_to = w.lease_to_ms.max(w.restarted_at.map_or(0, |_| millis(stray_period)));
-            clock > lease_to + LEASE_MARGIN_MS
+            let lease_to = w.lease_to_ms.max(millis(stray_period));
+            clock > lease_to.saturating_add(LEASE_MARGIN_MS)
         };
         let unresponsive =
             |w: &Worker| w.missed_polls > 0 && (w.confirmed || !w.assignments.is_empty());
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -1,7 +1,7 @@
 //! The state of a job and its steps at their owner.
 
 use crate::job::{Job, State};
-use crate::progress::{Failures, Progress, StepProgress};
+use crate::progress::{self, Failures, MAX_PROGRESS_BYTES, Progress, StepProgress};
 use crate::task::StepRef;
 use crate::worker::{WorkerIndex, WorkerSet};
 use catkin_types::WorkerId;
@@ -59,6 +59,8 @@
     pub intent_version: u64,
     /// Workers on which an earlier owner may have started tasks that have not been reported yet.
     pub unsettled: Vec<WorkerId>,
+    /// When tasks were last found to be lost.
+    pub lost_at: Option<Duration>,
     /// The newest checkpoint of the gang.
     pub gang_checkpoint: Option<String>,
     /// When room was reserved.
@@ -86,6 +88,11 @@
                 t.last_failed_run = f.run;
             }
         }
+        if stored.complete {
+            for t in &mut tasks {
+                t.done = true;
+            }
+        }
         let remaining = tasks.iter().filter(|t| !t.done).count();
         let has_started = stored.run > 0 && remaining < count as usize;
         let unsettled = stored.on.clone();
@@ -102,12 +109,13 @@
 
     pub(crate) fn to_progress(&self) -> StepProgress {
         let indexed = || (0..).zip(&self.tasks);
+        let done = indexed().filter(|(_, t)| t.done).map(|(i, _)| i).collect();
         if self.remaining == 0 {
-            let done = indexed().map(|(i, _)| i).collect();
-            return StepProgress { done, ..StepProgress::default() };
+            return StepProgress { complete: true, done, ..StepProgress::default() };
         }
         StepProgress {
-            done: indexed().filter(|(_, t)| t.done).map(|(i, _)| i).collect(),
+            complete: false,
+            done,
             failed: indexed().filter(|(_, t)| t.failure_count > 0).map(failures).collect(),
             run: self.max_run,
             on: self.start_workers.clone(),
@@ -127,6 +135,15 @@
     Failures { index, times: t.failure_count, run: t.last_failed_run }
 }
 
+/// Why a job starts no task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hold {
+    /// The newest write was refused for good. A later one that is durable ends the hold.
+    WriteRefused,
+    /// The stored state of the job can't be read. The job has no steps here.
+    Unreadable,
+}
+
 /// A job whose end is not durable yet.
 #[derive(Clone, Debug)]
 pub(crate) struct JobState {
@@ -141,6 +158,8 @@
     pub dirty: bool,
     /// The version that is being written.
     pub writing_version: Option<u64>,
+    /// Why the job starts no task; absent if it may.
+    pub hold: Option<Hold>,
     /// When the job was accepted, on the owner's clock.
     pub accepted_at: Duration,
     /// The job is late from this time on, on the owner's clock.
@@ -149,6 +168,23 @@
 }
 
 impl JobState {
+    /// Returns the state of a job without steps that was accepted at the zero of the clock.
+    pub(crate) fn new(job: Job) -> Self {
+        Self {
+            job,
+            steps: Vec::new(),
+            outcome: None,
+            version: 0,
+            durable_version: 0,
+            dirty: false,
+            writing_version: None,
+            hold: None,
+            accepted_at: Duration::ZERO,
+            deadline: Duration::ZERO,
+            has_started: false,
+        }
+    }
+
     pub(crate) fn occurrences(&self) -> usize {
         self.steps.len().checked_div(self.job.steps.len()).unwrap_or(0)
     }
@@ -180,6 +216,13 @@
         step.after.iter().all(ended)
     }
 
+    /// Returns whether the job's row certainly holds the progress of one more occurrence.
+    pub(crate) fn may_begin_occurrence(&self) -> bool {
+        let open = self.job.steps.iter().cycle().zip(&self.steps).filter(|(_, s)| s.remaining > 0);
+        let open_steps = open.map(|(step, _)| step).chain(&self.job.steps);
+        progress::max_bytes(open_steps) <= MAX_PROGRESS_BYTES
+    }
+
     pub(crate) fn to_progress(&self) -> Progress {
         Progress { steps: self.steps.iter().map(StepState::to_progress).collect() }
     }
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -3,7 +3,7 @@
 use crate::task::Task;
 use catkin_place::Host;
 use catkin_types::{Incarnation, JobId, Resources, WorkerId, Zone};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// The entry of a worker in the list of workers.
@@ -133,7 +133,8 @@
     pub phase: Phase,
     /// When the phase began, or when its last order was sent.
     pub since: Duration,
-    /// The worker may still carry out an unanswered order to start until this time, on its clock.
+    /// The worker may still carry out an unanswered order to start until this time, on its clock; the largest value if
+    /// the order may have reached a later incarnation, whose clock is another.
     pub start_by_ms: u64,
     /// Whether the worker has listed the task.
     pub reported: bool,
@@ -200,6 +201,10 @@
     pub info: WorkerInfo,
     /// The capacity and the reserved resources.
     pub host: Host,
+    /// The incarnation in the worker's entry in the list; 0 if the entry states none.
+    pub listed_incarnation: Incarnation,
+    /// When the known incarnation became known.
+    pub incarnation_known_at: Duration,
     pub missing_since: Option<Duration>,
     /// Whether the worker has answered a poll of this owner in its current incarnation.
     pub confirmed: bool,
@@ -207,10 +212,10 @@
     pub clock_reading: Option<(u64, Duration)>,
     /// The latest end of a lease that was requested, on the worker's clock.
     pub lease_to_ms: u64,
-    /// When the worker restarted while this owner knew it. Calls meant for the earlier incarnation, with times of
-    /// another clock, may have reached the current one.
+    /// When the worker restarted while this owner knew it; the first time if it has restarted again without an answer.
+    /// Calls meant for the earlier incarnation, with times of another clock, may have reached the current one.
     pub restarted_at: Option<Duration>,
-    pub assignments: HashMap<Task, Assignment>,
+    pub assignments: BTreeMap<Task, Assignment>,
     pub acknowledged: u64,
     pub newest_end: u64,
     pub unacknowledged: VecDeque<UnacknowledgedEnd>,
@@ -218,6 +223,8 @@
     pub missed_polls: u32,
     /// The worker declined a start and gets no new tasks until this time.
     pub paused_until: Duration,
+    /// How often the worker was paused since it last carried out a start.
+    pub pauses: u32,
 }
 
 /// A value of `since` so early that the next order to stop is due at once. Zero stands for an order that was just
@@ -225,6 +232,8 @@
 const RESEND_NOW: Duration = Duration::from_nanos(1);
 /// A worker's clock may be slow by at most this many thousandths.
 const MAX_CLOCK_LAG_PER_MILLE: u32 = 20;
+/// A pause is at most two to the power of this many times the shortest one.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
 
 impl Worker {
     pub(crate) fn free(&self) -> Resources {
@@ -235,15 +244,14 @@
     pub(crate) fn min_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
         let elapsed = now.saturating_sub(read_at);
-        Some(
-            clock + millis(elapsed.checked_sub(elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000).unwrap()),
-        )
+        let lag = elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000;
+        Some(clock.saturating_add(millis(elapsed.saturating_sub(lag))))
     }
 
     /// Returns the worker's clock at `now`, assuming that it runs at the same rate as the owner's.
     pub(crate) fn estimated_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
-        Some(clock + millis(now.saturating_sub(read_at)))
+        Some(clock.saturating_add(millis(now.saturating_sub(read_at))))
     }
 
     pub(crate) fn assign(&mut self, task: Task, assignment: Assignment) {
@@ -259,6 +267,16 @@
         Some(assignment)
     }
 
+    /// Keeps new tasks from the worker, for twice as long each time it declines one again after a pause. A gang that was
+    /// declined can only try other workers while the pause lasts longer than its members take to stop.
+    pub(crate) fn pause(&mut self, shortest: Duration, now: Duration) {
+        if now < self.paused_until {
+            return;
+        }
+        self.paused_until = now + shortest * 2_u32.pow(self.pauses.min(MAX_PAUSE_DOUBLINGS));
+        self.pauses += 1;
+    }
+
     /// Applies the worker's entry in the list of workers.
     pub(crate) fn update_info(&mut self, info: WorkerInfo) {
         self.host.id.clone_from(&info.id);
@@ -277,10 +295,13 @@
         now: Duration,
     ) -> Vec<Task> {
         self.info.incarnation = incarnation;
+        self.incarnation_known_at = now;
         self.confirmed = false;
-        self.clock_reading = None;
+        // A worker that has not answered since its last restart got no starts and no leases since then.
+        if self.clock_reading.take().is_some() || self.restarted_at.is_none() {
+            self.restarted_at = Some(now);
+        }
         self.lease_to_ms = 0;
-        self.restarted_at = Some(now);
         self.acknowledged = 0;
         self.newest_end = 0;
         self.unacknowledged.clear();
@@ -291,9 +312,12 @@
             self.release(task);
         }
         for assignment in self.assignments.values_mut() {
-            assignment.phase = Phase::Stopping;
             assignment.stop_acked_at = None;
-            assignment.since = RESEND_NOW;
+            assignment.start_by_ms = u64::MAX;
+            if assignment.phase != Phase::Stopping {
+                assignment.phase = Phase::Stopping;
+                assignment.since = RESEND_NOW;
+            }
         }
         lost_tasks
     }
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -1,7 +1,20 @@
 //! Tests of the owner of a cell.
 
 mod advice;
+mod any_values;
+mod extremes;
 mod faults;
+mod fixture;
+mod held;
+mod incarnation;
+mod kept_room;
+mod liveness;
 mod owner;
+mod progress;
+mod queued_advice;
+mod quiet;
+mod refused;
+mod restarts;
+mod takeover;
 mod worker;
 mod world;
--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -34,6 +34,8 @@
     NoSuchJob,
     /// The write was not carried out, and will not be.
     NotCommitted,
+    /// The table service refuses the write for good. A repeated one would be refused too.
+    Refused,
     /// The write may or may not be carried out.
     Unknown,
 }
@@ -53,6 +55,7 @@
             Self::AlreadyDone => Response::Count(0),
             Self::NoSuchJob => refused(Code::NOT_FOUND),
             Self::NotCommitted => refused(Code::STORE_DOWN),
+            Self::Refused => refused(Code::BODY_TOO_LARGE),
             Self::Unknown => refused(Code::STORE_UNKNOWN),
         }
     }
@@ -66,6 +69,7 @@
             Response::Refused(r) if r.code == Code::NOT_FOUND.number() => Some(Self::NoSuchJob),
             Response::Refused(r) if r.code == Code::NO_OWNER.number() => None,
             Response::Refused(r) if r.code == Code::STORE_UNKNOWN.number() => Some(Self::Unknown),
+            Response::Refused(r) if r.code == Code::BODY_TOO_LARGE.number() => Some(Self::Refused),
             Response::Refused(_) => Some(Self::NotCommitted),
             _ => Some(Self::Unknown),
         }
@@ -78,6 +82,7 @@
     if deadline.saturating_sub(cx.now()) < MIN_ACCEPT_TIME {
         return WriteOutcome::NotCommitted;
     }
+    wait_for_owner(cx, deadline).await;
     let owner_outcome = tokio::select! {
         outcome = store_via_owner(cx, id, job, deadline) => outcome,
         () = owner_lost(cx) => Some(WriteOutcome::Unknown),
@@ -105,6 +110,23 @@
     !cx.table.is_unavailable() && !cx.table.latency().is_slow()
 }
 
+/// Waits until this daemon knows the owner, if it could store the job neither through the owner nor directly. Returns at
+/// once while the table service is unavailable.
+async fn wait_for_owner(cx: &Cx, deadline: Duration) {
+    let mut leader = cx.leader.subscribe();
+    while leader.borrow_and_update().is_none()
+        && !cx.table.is_unavailable()
+        && !may_write_directly(cx)
+    {
+        let left = deadline.saturating_sub(cx.now() + MIN_ACCEPT_TIME);
+        if left.is_zero() {
+            return;
+        }
+        // The table service may become unavailable meanwhile. The senders live as long as `cx`.
+        let _ = tokio::time::timeout(left.min(LOOK_INTERVAL), leader.changed()).await;
+    }
+}
+
 /// Stores a job with calls of this daemon, and notifies the owner of it.
 async fn accept_beside_owner(
     cx: &Arc<Cx>,
@@ -178,7 +200,7 @@
     /// Combines this outcome with that of an earlier attempt with an unknown outcome, which may still be carried out
     /// even if this one was refused.
     fn after_unknown(self) -> Self {
-        if self == Self::NotCommitted { Self::Unknown } else { self }
+        if matches!(self, Self::NotCommitted | Self::Refused) { Self::Unknown } else { self }
     }
 }
 
@@ -208,6 +230,10 @@
         match cx.table.commit(&changes, left).await {
             Ok(CommitOutcome::Committed { .. }) => return WriteOutcome::Durable,
             Ok(CommitOutcome::Conflict(rows)) => return outcome_of_conflict(&rows, answer_lost),
+            Err(Error::Refused(e)) => {
+                tracing::warn!(job = format_job(id), "gate: job refused for good: {e}");
+                return WriteOutcome::Refused;
+            }
             Err(Error::NotDone(e)) if !answer_lost => {
                 tracing::debug!(job = format_job(id), "gate: job not stored: {e}");
                 return WriteOutcome::NotCommitted;
--- a/crates/catkin-node/src/metrics/mod.rs
+++ b/crates/catkin-node/src/metrics/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::Error;
 use catkin_cell::cell::{Counts, Summary};
-use catkin_cell::worker::Reply;
+use catkin_cell::worker::{Reply, millis};
 use catkin_metrics::{Counter, Histogram, Instruments};
 use error_stack::{Report, ResultExt};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -20,6 +20,8 @@
     pub counts: Counts,
     /// The number of advice requests that wait for a daemon.
     pub asks_waiting: usize,
+    /// How long the oldest of them has waited.
+    pub longest_ask_wait: Duration,
 }
 
 /// The instruments of a daemon.
@@ -32,6 +34,8 @@
     advice: Histogram,
     orders: Counter,
     takeovers: Counter,
+    rows_refused: Counter,
+    rows_unreadable: Counter,
     cell: Arc<Mutex<CellSnapshot>>,
 }
 
@@ -49,6 +53,8 @@
             advice: instruments.histogram("catkin_advice_seconds", &BUCKETS),
             orders: instruments.counter("catkin_orders"),
             takeovers: instruments.counter("catkin_takeovers"),
+            rows_refused: instruments.counter("catkin_rows_refused"),
+            rows_unreadable: instruments.counter("catkin_rows_unreadable"),
             cell: Arc::default(),
             instruments,
         };
@@ -58,8 +64,9 @@
 
     fn observe_cell(&self) {
         type Value = fn(&CellSnapshot) -> u64;
-        let values: [(&'static str, &'static str, &str, Value); 14] = [
+        let values: [(&'static str, &'static str, &str, Value); 17] = [
             ("catkin_cell_jobs", "state", "open", |c| c.summary.jobs as u64),
+            ("catkin_cell_jobs", "state", "held", |c| c.summary.jobs_held as u64),
             ("catkin_cell_steps", "state", "waiting", |c| c.summary.steps_waiting as u64),
             ("catkin_cell_steps", "state", "reserved", |c| c.summary.steps_reserved as u64),
             ("catkin_cell_steps", "state", "unsettled", |c| c.summary.steps_unsettled as u64),
@@ -67,7 +74,9 @@
             ("catkin_cell_workers", "state", "known", |c| c.summary.workers as u64),
             ("catkin_cell_workers", "state", "usable", |c| c.summary.workers_usable as u64),
             ("catkin_cell_questions", "state", "waiting", |c| c.asks_waiting as u64),
+            ("catkin_cell_questions", "state", "longest_wait_ms", |c| millis(c.longest_ask_wait)),
             ("catkin_cell_starts", "state", "ordered", |c| c.counts.starts),
+            ("catkin_cell_reservations", "state", "expired", |c| c.counts.reservations_expired),
             ("catkin_cell_ends", "how", "done", |c| c.counts.done),
             ("catkin_cell_ends", "how", "failed", |c| c.counts.failed),
             ("catkin_cell_ends", "how", "lost", |c| c.counts.lost),
@@ -122,6 +131,16 @@
         self.takeovers.add(&[]);
     }
 
+    /// Counts a row that the table service refuses for good.
+    pub fn count_refused_row(&self, table: &str) {
+        self.rows_refused.add(&[("table", table)]);
+    }
+
+    /// Counts a row of a job that can't be read.
+    pub fn count_unreadable_row(&self, table: &str) {
+        self.rows_unreadable.add(&[("table", table)]);
+    }
+
     /// Replaces the exported snapshot of the cell.
     pub fn set_cell(&self, cell: CellSnapshot) {
         *self.cell.lock().unwrap_or_else(PoisonError::into_inner) = cell;
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -5,12 +5,12 @@
 use crate::cx::Cx;
 use crate::leadership::load;
 use crate::table::{self, JOBS, PART_COUNT};
-use catkin_cell::Job;
+use crate::worker_entries::{ListUpdate, WorkerEntries};
 use catkin_platform::error::Error;
 use catkin_platform::store::Row;
 use catkin_platform::worker_list;
 use catkin_types::JobId;
-use catkin_types::id::parse_job;
+use futures::future::join_all;
 use ractor::ActorRef;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,7 +36,7 @@
         });
     }
 
-    pub(super) fn follow_workers(&self, after: u64) {
+    pub(super) fn follow_workers(&self, after: u64, mut entries: WorkerEntries) {
         let (cx, myself) = (Arc::clone(&self.cx), self.myself.clone());
         self.spawn(async move {
             let mut after = after;
@@ -45,14 +45,14 @@
                 match cx.table.changes(worker_list::TABLE, after, Duration::ZERO).await {
                     Ok(rows) => {
                         after = after.max(rows.version);
-                        send_workers(&myself, &rows.rows, false);
+                        send_workers(&myself, entries.read(&rows.rows), false);
                     }
                     Err(Error::HistoryGone) => {
                         if let Ok((rows, version)) =
                             load::read_all(&cx, worker_list::TABLE, "").await
                         {
                             after = version;
-                            send_workers(&myself, &rows, true);
+                            send_workers(&myself, entries.read(&rows), true);
                         }
                     }
                     Err(e) => tracing::debug!("owner: worker changes not read, will retry: {e}"),
@@ -100,32 +100,36 @@
     }
 }
 
-fn send_workers(myself: &ActorRef<Message>, rows: &[Row], complete: bool) {
-    let workers: Vec<_> = rows.iter().filter_map(load::parse_worker).collect();
-    let is_removed = |r: &&Row| load::parse_worker(r).is_none();
-    let removed = rows.iter().filter(is_removed).map(|r| r.key.clone()).collect();
+fn send_workers(myself: &ActorRef<Message>, update: ListUpdate, complete: bool) {
+    update.log_unusable();
+    let ListUpdate { workers, removed, .. } = update;
     drop(myself.send_message(Message::WorkerList { workers, removed, complete }));
 }
 
 fn send_jobs(myself: &ActorRef<Message>, rows: &[Row]) {
-    let parse_row = |r: &Row| -> Option<(JobId, Job)> {
-        r.value.as_ref()?;
-        Some((parse_job(&r.key)?, table::decode(r)?))
-    };
-    let jobs: Vec<_> = rows.iter().filter_map(parse_row).collect();
+    let jobs: Vec<_> = rows.iter().filter_map(table::jobs::parse).collect();
     if !jobs.is_empty() {
         drop(myself.send_message(Message::JobRows(jobs)));
     }
 }
 
 /// Reads all jobs again, after the table service discarded the history of their changes. Returns the version after
-/// which changes are new, or `None` if a read failed.
+/// which changes are new, or `None` if a part was not read.
 async fn reread_jobs(cx: &Cx, myself: &ActorRef<Message>) -> Option<u64> {
-    let mut oldest = u64::MAX;
-    for part in 0..PART_COUNT {
-        let (rows, version) = load::read_all(cx, JOBS, table::part_name(part)).await.ok()?;
-        oldest = oldest.min(version);
-        send_jobs(myself, &rows);
+    let versions = join_all((0..PART_COUNT).map(|part| reread_part(cx, myself, part))).await;
+    versions.into_iter().collect::<Option<Vec<u64>>>()?.into_iter().min()
+}
+
+/// Reads the jobs of a part again. Returns the version at which they were read, or `None` if they were not.
+async fn reread_part(cx: &Cx, myself: &ActorRef<Message>, part: usize) -> Option<u64> {
+    match load::read_all(cx, JOBS, table::part_name(part)).await {
+        Ok((rows, version)) => {
+            send_jobs(myself, &rows);
+            Some(version)
+        }
+        Err(e) => {
+            tracing::debug!("owner: the jobs of part {part} not read again, will retry: {e}");
+            None
+        }
     }
-    Some(oldest)
 }
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -11,15 +11,17 @@
 use crate::cx::{Cx, spawn_until};
 use crate::gate::store::WriteOutcome;
 use crate::leadership::load;
+use crate::table::jobs::{JobRow, UnreadableJob};
 use catkin_cell::action::StoredJob;
 use catkin_cell::cell::AdviceAnswer;
 use catkin_cell::worker::{Reply, WorkerIndex, WorkerInfo, WorkerReport};
 use catkin_cell::{Action, AdviceRequest, Cell, Job, Options, Start, State, Stop};
 use catkin_platform::config::Config;
+use catkin_types::id::format_job;
 use catkin_types::{Epoch, JobId, WorkerId};
 use commits::{Parts, Submission};
 use polls::Polls;
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,7 +58,7 @@
         complete: bool,
     },
     /// Rows of jobs that were read from the table.
-    JobRows(Vec<(JobId, Job)>),
+    JobRows(Vec<JobRow>),
     /// The result of a poll: the worker, when the poll was sent, whether it was the long poll, and the answer. The
     /// answer is a report, a refusal, or `None` if it was lost.
     PollReply(WorkerIndex, Duration, bool, Option<Result<WorkerReport, Reply>>),
@@ -82,14 +84,24 @@
 pub struct Owner {
     actor: ActorRef<Message>,
     superseded: CancellationToken,
+    /// Cancelled when the actor ends without [`stop`], by a panic.
+    failed: CancellationToken,
     tasks: TaskTracker,
     stop: CancellationToken,
 }
 
 impl Owner {
     /// Starts the owner actor for the term `epoch`.
-    pub async fn start(cx: Arc<Cx>, epoch: Epoch, initial: load::InitialState) -> Self {
+    ///
+    /// # Errors
+    /// The actor ended while it took over what was read.
+    pub async fn start(
+        cx: Arc<Cx>,
+        epoch: Epoch,
+        initial: load::InitialState,
+    ) -> Result<Self, SpawnErr> {
         let superseded = CancellationToken::new();
+        let failed = CancellationToken::new();
         let stop = CancellationToken::new();
         let tasks = TaskTracker::new();
         let args = Args {
@@ -100,10 +112,18 @@
             tasks: tasks.clone(),
             stop: stop.clone(),
         };
-        let (actor, _) = Actor::spawn(None, OwnerActor, args).await.unwrap_or_else(|e| {
-            unreachable!("`pre_start` of the owner always succeeds: {e}");
+        let (actor, ended) = Actor::spawn(None, OwnerActor, args).await?;
+        let on_end = failed.clone();
+        spawn_until(&tasks, &stop, async move {
+            drop(ended.await);
+            on_end.cancel();
         });
-        Self { actor, superseded, tasks, stop }
+        Ok(Self { actor, superseded, failed, tasks, stop })
+    }
+
+    /// Returns once the actor has ended by itself. It carries out nothing any more.
+    pub async fn failed(&self) {
+        self.failed.cancelled().await;
     }
 
     /// Returns once an owner of a later term was detected.
@@ -199,7 +219,7 @@
             max_lease: crate::settings::duration_from_ms(limits.lease_ms),
             gang_wait: crate::settings::duration_from_ms(limits.gang_wait_ms),
             ended_retention: crate::settings::duration_from_ms(limits.remember_ms),
-            autonomy: crate::leadership::AUTONOMY_LIMIT,
+            autonomy: crate::leadership::term::AUTONOMY_LIMIT,
             ..Options::default()
         };
         let cell = Cell::new(opt, args.epoch, now);
@@ -239,13 +259,16 @@
         if let Some(config) = config {
             self.configure(&config);
         }
+        self.cell.update_workers(initial.workers, false, now);
         for (id, loaded_job) in initial.jobs {
             let age = self.age(loaded_job.job.accepted_ms);
             self.cell.add(id, loaded_job, age, now);
         }
-        self.cell.update_workers(initial.workers, false, now);
+        for job in initial.unreadable {
+            self.hold(job, now);
+        }
         self.follow_config();
-        self.follow_workers(initial.workers_version);
+        self.follow_workers(initial.workers_version, initial.worker_entries);
         self.follow_jobs(initial.job_versions);
         let myself = self.myself.clone();
         self.spawn(async move {
@@ -281,6 +304,11 @@
     }
 
     fn handle(&mut self, msg: Message) {
+        if !crate::leadership::may_act(&self.cx) {
+            // The process may have been suspended: the term ends with the next renewal.
+            tracing::debug!("owner: message dropped, the term is over");
+            return;
+        }
         let now = self.cx.now();
         let mut out = Vec::new();
         match msg {
@@ -295,8 +323,8 @@
             }
             Message::JobAccepted(id) => self.read_job(id),
             Message::JobRows(jobs) => {
-                for (id, job) in jobs {
-                    self.apply_job_row(id, job, now, &mut out);
+                for job in jobs {
+                    self.apply_job_row(job, now, &mut out);
                 }
             }
             Message::Cancel(id) => self.cell.cancel(id, &mut out),
@@ -348,12 +376,25 @@
     }
 
     /// Applies the current row of a job: adds a job that is unknown, and cancels a known one whose row is cancelled.
-    fn apply_job_row(&mut self, id: JobId, job: Job, now: Duration, out: &mut Vec<Action>) {
-        if !self.cell.is_known(id) {
-            self.add(id, job, now);
-        } else if job.cancelled {
-            self.cell.cancel(id, out);
+    fn apply_job_row(&mut self, row: JobRow, now: Duration, out: &mut Vec<Action>) {
+        match row {
+            JobRow::Read(id, job) if !self.cell.is_known(id) => self.add(id, job, now),
+            JobRow::Read(id, job) if job.cancelled => self.cell.cancel(id, out),
+            JobRow::Read(..) => {}
+            JobRow::Unreadable(job) => self.hold(job, now),
+        }
+    }
+
+    /// Holds a job that is unknown and can't be read.
+    fn hold(&mut self, unreadable: UnreadableJob, now: Duration) {
+        let UnreadableJob { id, job, table, why } = unreadable;
+        if self.cell.is_known(id) {
+            return;
         }
+        self.cx.metrics.count_unreadable_row(table);
+        tracing::warn!(job = format_job(id), table, why, "owner: job held, its row can't be read");
+        let age = self.age(job.accepted_ms);
+        self.cell.hold(id, job, age, now);
     }
 
     /// Schedules the next pass. The delay lets one pass cover events that arrive at about the same time.
--- a/crates/catkin-node/src/owner/pass.rs
+++ b/crates/catkin-node/src/owner/pass.rs
@@ -15,6 +15,10 @@
         let now = self.cx.now();
         self.last_pass = now;
         let mut out = Vec::new();
+        if let Some(term) = *self.cx.term.borrow() {
+            self.cell.limit_earlier_owners(term.earlier.until());
+            self.cell.confirm_term(term.renewed_at);
+        }
         self.cell.begin_occurrences(unix_time_ms());
         self.cell.tick(now, &mut out);
         self.execute(out, now);
@@ -31,7 +35,7 @@
             match action {
                 Action::Start(s) => self.order_start(s),
                 Action::Stop(s) => self.order_stop(s),
-                Action::RequestAdvice(request) => self.dispatcher.push(request),
+                Action::RequestAdvice(request) => self.dispatcher.push(request, now),
                 Action::Poll(index) => self.poll(index, Duration::ZERO, now, false),
                 Action::StepDown => self.superseded.cancel(),
             }
@@ -40,9 +44,9 @@
 
     /// Dispatches waiting advice requests to the daemons that have capacity for them.
     fn dispatch_advice_requests(&mut self, now: Duration) {
-        let cell = &self.cell;
-        self.dispatcher.retain(|a| cell.is_open(a.step.job));
-        for (request, by) in self.dispatcher.dispatch(now) {
+        let Self { cell, dispatcher, .. } = self;
+        dispatcher.retain(|a| cell.is_open(a.step.job));
+        for (request, by) in dispatcher.dispatch(now, |a| cell.request_to_send(a, now)) {
             let (cx, myself) = (std::sync::Arc::clone(&self.cx), self.myself.clone());
             self.spawn(async move {
                 let sent = cx.now();
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | table | part | key | value | written by |
 //! | --- | --- | --- | --- | --- |
-//! | `cell` | | `lead` | [`OwnerRecord`] | the owner, each [`crate::leadership::RENEW_INTERVAL`]; its successor |
+//! | `cell` | | `lead` | [`OwnerRecord`] | the owner, each [`crate::leadership::renewal::RENEW_INTERVAL`]; its successor |
 //! | `shard` | `0`.. | `head` | [`Head`] | the owner, in every transaction on jobs of the part |
 //! | `job` | `0`.. | job | [`catkin_cell::Job`] | the daemon that accepts or cancels it; the owner removes it |
 //! | `progress` | `0`.. | job | [`Progress`] | the owner |
@@ -11,10 +11,13 @@
 pub mod availability;
 pub mod client;
 pub mod clock;
+pub mod jobs;
 pub mod latency;
 
+use crate::leadership::term::AUTONOMY_LIMIT;
+use catkin_cell::worker::millis;
 use catkin_cell::{Progress, State};
-use catkin_platform::store::{Key, Row, Transaction};
+use catkin_platform::store::{Key, MAX_VALUE_BYTES, Row, Transaction};
 use catkin_types::id::format_job;
 use catkin_types::{DaemonId, Epoch, JobId};
 use serde::de::DeserializeOwned;
@@ -44,6 +47,14 @@
     /// Where the daemons take calls that the owner has heard of lately.
     #[serde(default)]
     pub peers: Vec<String>,
+    /// How long after the record was written owners of earlier terms may still act, in milliseconds.
+    #[serde(default = "full_autonomy_ms")]
+    pub earlier_owners_ms: u64,
+}
+
+/// Returns how long earlier owners may act at most, for a record that does not tell.
+fn full_autonomy_ms() -> u64 {
+    millis(AUTONOMY_LIMIT)
 }
 
 /// The fencing row of a part: the term that may write its jobs, and the number of writes in this term.
@@ -71,6 +82,15 @@
 /// The table of jobs that have ended.
 pub const ENDED: &str = "ended";
 
+/// The largest row of a job when it is accepted, in bytes. Its cancellation makes it longer.
+const MAX_JOB_BYTES: usize = MAX_VALUE_BYTES - 100;
+
+/// Returns whether the row of a job fits the table service, also after the job's cancellation.
+#[must_use]
+pub fn fits_row(job: &catkin_cell::Job) -> bool {
+    to_json(job).len() <= MAX_JOB_BYTES
+}
+
 /// Returns the index of the part that holds a job.
 #[must_use]
 pub fn part_of(job: JobId) -> usize {
@@ -140,11 +160,15 @@
     })
 }
 
+/// Decodes a value.
+fn read<T: DeserializeOwned>(value: &[u8]) -> serde_json::Result<T> {
+    serde_json::from_slice(value)
+}
+
 /// Decodes the value of a row. Returns `None` if the row has no value or can't be decoded.
 #[must_use]
 pub fn decode<T: DeserializeOwned>(row: &Row) -> Option<T> {
-    let value = row.value.as_ref()?;
-    serde_json::from_slice(value)
+    read(row.value.as_ref()?)
         .inspect_err(|e| tracing::error!("table: decoding row {} failed: {e}", row.key))
         .ok()
 }
