--- a/crates/catkin-node/src/advice/dispatcher.rs
+++ b/crates/catkin-node/src/advice/dispatcher.rs
@@ -28,7 +28,7 @@
 
 impl Queued {
     /// The requests with the smallest rank are sent first: those in time by the latest start, then late ones by the
-    /// ratio of their waiting time to their cost, so that short ones go first and none waits for ever.
+    /// ratio of their waiting time to their cost: short ones go first, and no late one waits for ever behind others.
     fn rank(&self, now: Duration) -> (bool, Duration, Reverse<u128>) {
         let request = &self.request;
         if request.latest_start >= now {
