Re-read: the limit of tasks on a worker and the list of distinct workers stand once

No behaviour changes but for one value that nothing reaches: the limit of a request about a step without one is u32::MAX, as elsewhere, not u64::MAX.

--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -109,8 +109,7 @@
         queue: &str,
     ) -> Vec<WorkerIndex> {
         let demand = step_def.demand();
-        let cap =
-            if step_def.max_per_worker > 0 { u64::from(step_def.max_per_worker) } else { u64::MAX };
+        let cap = u64::from(step_def.task_limit());
         let free = |idx: WorkerIndex| fit_count(&self.worker(idx).free(), &demand).min(cap);
         let advised = step.tickets.iter().flat_map(HashMap::keys).copied();
         let known = advised.filter(|idx| eligible.contains(*idx)).map(free);
--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -1,6 +1,7 @@
 //! Starts tasks with reserved room once their workers are durably recorded and the tickets are valid.
 
 use super::Cell;
+use super::plan::distinct_workers;
 use crate::action::{Action, Start};
 use crate::event::Event;
 use crate::task::{StepRef, Task};
@@ -39,9 +40,7 @@
             return;
         }
         let run = reserved.iter().map(|(_, _, run)| *run).max().unwrap_or(1);
-        let mut workers: Vec<WorkerIndex> = reserved.iter().map(|(_, idx, _)| *idx).collect();
-        workers.sort_unstable();
-        workers.dedup();
+        let workers = distinct_workers(reserved.iter().map(|(_, idx, _)| *idx));
         let durable = self.record_intent(r, run, &workers);
         let has_tickets = !self.needs_advice(r) || self.tickets_valid(r, &workers, now, out);
         if !(durable && has_tickets) {
@@ -116,10 +115,8 @@
 
     /// Returns the workers with reserved room for a step if any of their tickets has to be renewed.
     pub(super) fn reserved_workers_to_ask(&self, r: StepRef, now: Duration) -> Vec<WorkerIndex> {
-        let mut workers: Vec<WorkerIndex> =
-            self.reserved_tasks(r).into_iter().map(|(_, idx, _)| idx).collect();
-        workers.sort_unstable();
-        workers.dedup();
+        let mut workers =
+            distinct_workers(self.reserved_tasks(r).into_iter().map(|(_, idx, _)| idx));
         if workers.iter().all(|idx| self.has_valid_ticket(r, *idx, now)) {
             workers.clear();
         }
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -1,7 +1,7 @@
 //! Placement: decides which steps get room and reserves it on workers.
 
 use super::Cell;
-use super::plan::{Candidate, Plan, fit_count};
+use super::plan::{Candidate, Plan, distinct_workers, fit_count};
 use crate::action::Action;
 use crate::job::Step;
 use crate::step::StepState;
@@ -139,10 +139,8 @@
     ) -> (Plan, Vec<WorkerIndex>) {
         let lacks_ticket =
             |idx: WorkerIndex| self.needs_advice(r) && !self.has_valid_ticket(r, idx, now);
-        let mut stale: Vec<WorkerIndex> =
-            plan.iter().map(|(_, idx)| *idx).filter(|idx| lacks_ticket(*idx)).collect();
-        stale.sort_unstable();
-        stale.dedup();
+        let stale =
+            distinct_workers(plan.iter().map(|(_, idx)| *idx).filter(|idx| lacks_ticket(*idx)));
         let mut ready = plan;
         if self.is_gang(r) && !stale.is_empty() {
             ready.clear();
@@ -235,7 +233,7 @@
                 *assigned.entry(at).or_default() += 1;
             }
         }
-        let cap = if step_def.max_per_worker > 0 { step_def.max_per_worker } else { u32::MAX };
+        let cap = step_def.task_limit();
         let demand = step_def.demand();
         let headroom = if self.is_scarce(r, pass) {
             self.urgent_headroom(r, step_def)
@@ -274,9 +272,8 @@
     ) {
         let demand = step_def.demand();
         let count = step.waiting().count();
-        let cap = if step_def.max_per_worker > 0 { step_def.max_per_worker } else { u32::MAX };
         // A gang that needs no resources fits any number of times.
-        let most = u64::from(cap).min(count as u64);
+        let most = u64::from(step_def.task_limit()).min(count as u64);
         let max_fit = |free: &Resources| fit_count(free, &demand).min(most);
         let Some(tickets) = &step.tickets else { return };
         // The times at which each worker can take one more member: at once for its free room, then as its tasks end.
--- a/crates/catkin-cell/src/cell/plan.rs
+++ b/crates/catkin-cell/src/cell/plan.rs
@@ -92,6 +92,14 @@
     }
 }
 
+/// Returns the workers in ascending order, each once.
+pub(super) fn distinct_workers(workers: impl Iterator<Item = WorkerIndex>) -> Vec<WorkerIndex> {
+    let mut workers: Vec<WorkerIndex> = workers.collect();
+    workers.sort_unstable();
+    workers.dedup();
+    workers
+}
+
 /// Returns how many times `size` fits into `available`.
 pub(super) fn fit_count(available: &Resources, size: &Resources) -> u64 {
     let pairs = available.as_array().into_iter().zip(size.as_array());
--- a/crates/catkin-cell/src/job/mod.rs
+++ b/crates/catkin-cell/src/job/mod.rs
@@ -127,6 +127,11 @@
 }
 
 impl Step {
+    /// Returns how many tasks of the step one worker may have.
+    pub(crate) fn task_limit(&self) -> u32 {
+        if self.max_per_worker > 0 { self.max_per_worker } else { u32::MAX }
+    }
+
     /// Returns the resources that a task reserves on a worker.
     #[must_use]
     pub fn demand(&self) -> Resources {
