--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of a cell: its jobs, its workers, and the decisions about them.
 
 mod advice;
+mod crashes;
 mod gang;
 mod held;
 mod jobs;
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -161,8 +161,17 @@
         incarnation: Incarnation,
         now: Duration,
     ) {
+        // A worker that has not been heard since its last restart has had no starts since then.
+        let was_heard = self.worker(idx).clock_reading.is_some();
+        if was_heard && !self.worker(idx).info.draining {
+            self.record_crash(idx);
+        }
         let w = self.worker_mut(idx);
         let lost = w.begin_incarnation(incarnation, now);
+        let held = w.assignments.len();
+        if was_heard {
+            self.events.push(Event::WorkerRestarted { worker: idx, lost: lost.len(), held });
+        }
         for task in lost {
             self.mark_lost(task, idx);
         }
--- a/crates/catkin-cell/src/event.rs
+++ b/crates/catkin-cell/src/event.rs
@@ -48,6 +48,26 @@
         /// The worker that it was assigned to.
         worker: WorkerIndex,
     },
+    /// A worker restarted, or another one answers at its address.
+    WorkerRestarted {
+        /// The worker concerned.
+        worker: WorkerIndex,
+        /// The tasks that are lost with it.
+        lost: usize,
+        /// The tasks whose orders to start got no answer, and which stay assigned until they can't run any more.
+        held: usize,
+    },
+    /// A worker crashed while a task was on it.
+    CrashedUnderTask {
+        /// The task that was on the worker.
+        task: Task,
+        /// The run number of the task on the worker.
+        run: u32,
+        /// The worker that crashed.
+        worker: WorkerIndex,
+        /// How many workers have crashed under the task, this one included.
+        crashes: u32,
+    },
     /// A gang was given up because not all members started in time.
     GangGivenUp(StepRef),
     /// A job ended. The end is not durable yet.
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -25,6 +25,8 @@
     /// The newest run whose failure was counted.
     pub last_failed_run: u32,
     pub done: bool,
+    /// The number of workers that crashed while the task may have run on them.
+    pub crashes: u32,
     pub checkpoint: Option<String>,
 }
 
--- a/crates/catkin-node/src/owner/report.rs
+++ b/crates/catkin-node/src/owner/report.rs
@@ -113,6 +113,20 @@
                 "owner: task lost"
             );
         }
+        Event::WorkerRestarted { worker, lost, held } => {
+            tracing::info!(worker = cell.contact(worker).0, lost, held, "owner: worker restarted");
+        }
+        Event::CrashedUnderTask { task, run, worker, crashes } => {
+            tracing::info!(
+                job = job(task.step),
+                step = task.step.step,
+                index = task.index,
+                run,
+                worker = cell.contact(worker).0,
+                crashes,
+                "owner: worker crashed under task"
+            );
+        }
         Event::GangGivenUp(step) => {
             tracing::info!(job = job(step), step = step.step, "owner: gang given up");
         }
