--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -2,6 +2,8 @@
 
 mod advice;
 mod any_values;
+mod capacity;
+mod crashes;
 mod extremes;
 mod faults;
 mod fixture;
--- a/crates/catkin-cell/tests/cell/world/checks.rs
+++ b/crates/catkin-cell/tests/cell/world/checks.rs
@@ -45,6 +45,7 @@
 
     fn check_start(&mut self, n: usize, task: Task, run: u32) {
         self.starts += 1;
+        self.note_deadly_start(n, task);
         let mut errors = Vec::new();
         let w = &self.workers[n];
         if !w.used().fits(&w.info.capacity) {
@@ -140,6 +141,7 @@
             State::Completed => tasks.iter().all(|t| self.done.contains(t)),
             State::Failed => {
                 failures.unwrap_or(0) >= MAX_ATTEMPTS as usize
+                    || self.may_give_up(&tasks)
                     || tasks.iter().any(|t| self.is_gang_task(*t))
             }
             State::Cancelled => self.cancelled.contains(&id),
--- a/crates/catkin-cell/tests/cell/world/events.rs
+++ b/crates/catkin-cell/tests/cell/world/events.rs
@@ -94,7 +94,15 @@
         let step = self.accepted[&s.task.step.job].steps[s.task.step.step as usize].clone();
         let mut facts = Vec::new();
         let reply = self.workers[call.n].start(&s, call.epoch, &step, &run, now, &mut facts);
+        let is_started = !facts.is_empty();
         self.record_facts(call.n, facts);
+        if is_started && self.crashes.delay.is_zero() && self.is_deadly(s.task) {
+            self.crash_workers();
+            let unknown = Event::StartReply(s, call.epoch, Reply::Unknown);
+            let when = now + self.delay();
+            self.schedule_event(when, unknown);
+            return;
+        }
         self.answer(call, |epoch| Event::StartReply(s.clone(), epoch, reply));
     }
 
--- a/crates/catkin-cell/tests/cell/world/mod.rs
+++ b/crates/catkin-cell/tests/cell/world/mod.rs
@@ -4,6 +4,7 @@
 //! after the allowed failures, and steps start in their order.
 
 mod checks;
+mod crashes;
 mod events;
 mod faults;
 mod gangs;
@@ -19,6 +20,7 @@
 use catkin_cell::queue::{AdviceSettings, Queue};
 use catkin_cell::{Progress, Task};
 use catkin_types::{Epoch, JobId, Resources};
+use crashes::Crashes;
 use events::Event;
 use faults::Trouble;
 use owners::Owner;
@@ -41,6 +43,7 @@
     rng: u64,
     pub now: Duration,
     pub faults: Faults,
+    pub crashes: Crashes,
     pub workers: Vec<Worker>,
     /// What faults have done to each worker.
     trouble: Vec<Trouble>,
@@ -110,6 +113,7 @@
             rng: seed | 1,
             now: Duration::from_secs(1),
             faults: Faults::default(),
+            crashes: Crashes::default(),
             workers: (0..workers).map(|n| Worker::new(n, capacity)).collect(),
             trouble: vec![Trouble::default(); workers],
             cut_off_until: HashMap::new(),
@@ -196,6 +200,7 @@
     pub fn run_tick(&mut self) {
         self.now += TICK;
         self.inject_faults();
+        self.crash_workers();
         self.advance_workers();
         self.advance_gangs();
         while let Some(((when, _), _)) = self.events.first_key_value() {
