--- a/crates/catkin-cell/src/cell/orders.rs
+++ b/crates/catkin-cell/src/cell/orders.rs
@@ -35,8 +35,8 @@
                 out.push(Action::Poll(s.worker));
             }
             Reply::OtherLife => {
-                self.restart_worker(s.worker, 0, now);
-                out.push(Action::Poll(s.worker));
+                self.handle_declined(s.worker, s.task, out);
+                self.retire_worker(s.worker, now);
             }
             Reply::Late => {
                 self.handle_declined(s.worker, s.task, out);
@@ -96,9 +96,8 @@
             Reply::Fenced => out.push(Action::StepDown),
             Reply::OtherLife => {
                 if self.worker(s.worker).info.incarnation == s.incarnation {
-                    self.restart_worker(s.worker, 0, now);
+                    self.retire_worker(s.worker, now);
                 }
-                out.push(Action::Poll(s.worker));
             }
             Reply::Unknown | Reply::NotRun => {}
             _ => {
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -73,7 +73,7 @@
         if incarnation != known_incarnation {
             w.incarnation_known_at = now;
         }
-        w.update_info(WorkerInfo { incarnation, ..entry });
+        w.update_info(WorkerInfo { incarnation, ..entry }, now);
         if restarted {
             self.restart_worker(idx, listed_incarnation, now);
         }
@@ -108,19 +108,22 @@
         w.confirmed && w.missed_polls == 0 && w.unacknowledged.is_empty()
     }
 
-    /// Returns whether the worker no longer has to be polled: it has been missing from the list for long, has no tasks
-    /// and does not answer.
+    /// Returns whether the worker no longer has to be polled: it has been missing from the list for long, or another one
+    /// has its address; and it has no tasks and does not answer.
     #[must_use]
     pub fn can_stop_polling(&self, idx: WorkerIndex, now: Duration) -> bool {
         let w = self.worker(idx);
         let gone = w.missing_since.is_some_and(|at| now.saturating_sub(at) > MISSING_POLL_PERIOD);
-        gone && w.assignments.is_empty() && w.missed_polls > 0
+        (gone || w.replaced) && w.assignments.is_empty() && w.missed_polls > 0
     }
 
-    /// Handles a poll that another incarnation refused. The poll counts as missed, since the worker may have left for
-    /// good and its address may belong to another one.
-    pub fn handle_other_incarnation(&mut self, idx: WorkerIndex, now: Duration) {
-        self.restart_worker(idx, 0, now);
+    /// Handles a poll, sent at `sent`, that another worker at the address refused.
+    pub fn handle_other_worker(&mut self, idx: WorkerIndex, sent: Duration, now: Duration) {
+        let w = self.worker(idx);
+        // The refusal may come from an address that the worker had before.
+        if sent >= w.incarnation_known_at.max(w.address_known_at) {
+            self.retire_worker(idx, now);
+        }
         self.handle_missed_poll(idx);
     }
 
@@ -185,6 +188,26 @@
         }
     }
 
+    /// Handles the news that another worker has the address of `idx`. Nothing of it runs any more, and no order that was
+    /// meant for it can be carried out: the other one refuses it.
+    pub(super) fn retire_worker(&mut self, idx: WorkerIndex, now: Duration) {
+        self.restart_worker(idx, 0, now);
+        let w = self.worker_mut(idx);
+        w.replaced = true;
+        let id = w.info.id.clone();
+        self.settled_workers.insert(id);
+        self.mark_all_lost(idx);
+    }
+
+    /// Marks every task on the worker as lost.
+    fn mark_all_lost(&mut self, idx: WorkerIndex) {
+        let tasks: Vec<Task> = self.worker(idx).assignments.keys().copied().collect();
+        for task in tasks {
+            self.worker_mut(idx).release(&task);
+            self.mark_lost(task, idx);
+        }
+    }
+
     /// Records events for workers whose quarantine began or ended.
     pub(super) fn record_quarantine_changes(&mut self, now: Duration) {
         for idx in self.worker_indices() {
@@ -246,13 +269,8 @@
             .filter(|idx| unresponsive(self.worker(*idx)) && expired(self.worker(*idx)))
             .collect();
         for idx in expired_workers {
-            let w = self.worker_mut(idx);
-            w.confirmed = false;
-            let tasks: Vec<Task> = w.assignments.keys().copied().collect();
-            for task in tasks {
-                self.worker_mut(idx).release(&task);
-                self.mark_lost(task, idx);
-            }
+            self.worker_mut(idx).confirmed = false;
+            self.mark_all_lost(idx);
         }
     }
 }
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -102,7 +102,7 @@
     Full,
     /// The ticket is not valid.
     Ticket,
-    /// The worker is in another incarnation than the one that the order is meant for.
+    /// Another worker has the address of the one that the order is meant for.
     OtherLife,
     /// The worker did nothing, or the order was never sent.
     NotRun,
@@ -205,6 +205,10 @@
     pub listed_incarnation: Incarnation,
     /// When the known incarnation became known.
     pub incarnation_known_at: Duration,
+    /// When the address became known.
+    pub address_known_at: Duration,
+    /// Whether another worker has answered at the address since the worker's entry was last listed.
+    pub replaced: bool,
     pub missing_since: Option<Duration>,
     /// Whether the worker has answered a poll of this owner in its current incarnation.
     pub confirmed: bool,
@@ -278,7 +282,11 @@
     }
 
     /// Applies the worker's entry in the list of workers.
-    pub(crate) fn update_info(&mut self, info: WorkerInfo) {
+    pub(crate) fn update_info(&mut self, info: WorkerInfo, now: Duration) {
+        if info.addr != self.info.addr {
+            self.address_known_at = now;
+        }
+        self.replaced = false;
         self.host.id.clone_from(&info.id);
         self.host.rack.clone_from(&info.rack);
         self.host.capacity = info.capacity;
--- a/crates/catkin-cell/tests/cell/crashes.rs
+++ b/crates/catkin-cell/tests/cell/crashes.rs
@@ -158,7 +158,7 @@
     f.reply(&starts, Reply::Unknown);
     let gone = starts[0].worker;
     f.tick();
-    f.cell.handle_other_incarnation(gone, f.now);
+    f.cell.handle_other_worker(gone, f.now, f.now);
     let end = f.now + RESTART_BOUND;
     let mut restarted = None;
     while f.now < end && restarted.is_none() {
@@ -192,7 +192,7 @@
 fn worker_polled_after_another_one_answered_at_its_address() {
     let mut f = Fixture::new(1);
     let idx = f.worker(0);
-    f.cell.handle_other_incarnation(idx, f.now);
+    f.cell.handle_other_worker(idx, f.now, f.now);
     assert!(f.cell.can_stop_polling(idx, f.now));
     // It is polled again once its entry is written again.
     let entry = crate::fixture::entry(0, FIRST_INCARNATION + 1);
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -60,7 +60,7 @@
     let idx = f.worker(gone);
     let other = 1 - gone;
     let s = next_start(&mut f, |f| {
-        f.cell.handle_other_incarnation(idx, f.now);
+        f.cell.handle_other_worker(idx, f.now, f.now);
         f.report(other, FIRST_INCARNATION, &[]);
     });
     assert_eq!(s.worker.index(), other);
@@ -70,7 +70,7 @@
 fn orders_to_stop_refused_by_another_worker_at_the_address() {
     let (mut f, gone) = with_unanswered_start();
     let idx = f.worker(gone);
-    f.cell.handle_other_incarnation(idx, f.now);
+    f.cell.handle_other_worker(idx, f.now, f.now);
     let end = f.now + RESTART_BOUND;
     let mut started = false;
     while f.now < end && !started {
@@ -85,7 +85,7 @@
                 _ => {}
             }
         }
-        f.cell.handle_other_incarnation(idx, f.now);
+        f.cell.handle_other_worker(idx, f.now, f.now);
         f.report(1 - gone, FIRST_INCARNATION, &[]);
     }
     assert!(started, "{:?}", f.cell.explain(1));
--- a/crates/catkin-cell/tests/cell/world/events.rs
+++ b/crates/catkin-cell/tests/cell/world/events.rs
@@ -196,7 +196,7 @@
                 o.polls.insert(idx, (false, now));
                 match report {
                     Some(Ok(report)) => o.cell.handle_report(idx, sent, &report, now, out),
-                    Some(Err(Reply::OtherLife)) => o.cell.handle_other_incarnation(idx, now),
+                    Some(Err(Reply::OtherLife)) => o.cell.handle_other_worker(idx, sent, now),
                     Some(Err(_)) => out.push(Action::StepDown),
                     None => o.cell.handle_missed_poll(idx),
                 }
--- a/crates/catkin-node/src/owner/polls.rs
+++ b/crates/catkin-node/src/owner/polls.rs
@@ -104,7 +104,7 @@
                 let worker = self.cell.contact(index).0;
                 tracing::info!(worker, "owner: poll refused: {reply:?}");
                 if reply == Reply::OtherLife {
-                    self.cell.handle_other_incarnation(index, now);
+                    self.cell.handle_other_worker(index, sent, now);
                 } else {
                     self.cell.handle_missed_poll(index);
                 }
