LIMIT: reserved room is given back if its worker's capacity shrinks

What callers would see: a worker that does not guard its capacity runs more than it has, and its tasks slow down. Cause: room that was reserved before the capacity shrank was used after it, since only the placement compares with the capacity. Now a reservation on a worker whose tasks need more than its capacity is released, as one on an unusable worker is, and the step is placed anew in the same pass. The same assumption stood in the room that is kept for gangs: what a shrunk worker runs was counted as room that will be free.

Looked at and found right: tasks that run or are being stopped count until their end is listed, growth wakes waiting steps (tests of capacity::, which pass before too).

--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -165,7 +165,7 @@
         }));
     }
 
-    /// Releases reservations that are too old or are on workers that became unusable.
+    /// Releases reservations that are too old, or are on workers that became unusable or whose capacity has shrunk.
     pub(super) fn expire_reservations(&mut self, now: Duration) {
         let steps: Vec<StepRef> = self.reserved_steps.iter().copied().collect();
         for r in steps {
@@ -174,7 +174,8 @@
             let too_old = self.step(r).is_none_or(|s| now.saturating_sub(s.reserved_at) > timeout);
             let workers = self.reserved_tasks(r);
             let unusable = workers.iter().any(|(_, idx, _)| !self.is_usable(*idx, now));
-            if !too_old && !unusable {
+            let overbooked = workers.iter().any(|(_, idx, _)| self.worker(*idx).is_overbooked());
+            if !too_old && !unusable && !overbooked {
                 continue;
             }
             self.reserved_steps.remove(&r);
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -302,15 +302,19 @@
         for idx in tickets.keys().copied().filter(|idx| eligible.contains(*idx)) {
             let w = self.worker(idx);
             let kept_room = pass.gang_room.get(&idx).copied().unwrap_or_default();
-            let mut free = w.free().saturating_sub(&kept_room);
+            let mut used = w.host.declared;
+            // A worker whose capacity has shrunk below what it runs has no room for the first tasks that end.
+            let room = |used: &Resources| {
+                max_fit(&w.host.capacity.saturating_sub(used).saturating_sub(&kept_room))
+            };
             let mut ends: Vec<_> =
                 w.assignments.values().map(|h| (h.expected_end, h.demand)).collect();
             ends.sort_unstable_by_key(|(at, _)| *at);
-            let mut fitting = max_fit(&free);
+            let mut fitting = room(&used);
             slots.extend((0..fitting).map(|_| (Duration::ZERO, idx)));
             for (at, size) in ends {
-                free = free.saturating_add(&size);
-                let fitting_then = max_fit(&free);
+                used = used.saturating_sub(&size);
+                let fitting_then = room(&used);
                 slots.extend((fitting..fitting_then).map(|_| (at, idx)));
                 fitting = fitting.max(fitting_then);
             }
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -277,6 +277,11 @@
         self.host.free()
     }
 
+    /// Returns whether the tasks on the worker need more than its capacity, which may have shrunk.
+    pub(crate) fn is_overbooked(&self) -> bool {
+        !self.host.declared.fits(&self.host.capacity)
+    }
+
     /// Returns the lowest value that the worker's clock can show at `now`.
     pub(crate) fn min_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
--- a/crates/catkin-cell/tests/cell/kept_room.rs
+++ b/crates/catkin-cell/tests/cell/kept_room.rs
@@ -5,7 +5,9 @@
 use catkin_cell::cell::AdviceAnswer;
 use catkin_cell::job::Step;
 use catkin_cell::queue::Queue;
+use catkin_cell::worker::WorkerInfo;
 use catkin_cell::{Action, AdviceRequest, Cell};
+use catkin_types::Resources;
 use std::time::Duration;
 
 /// Returns an owner of some workers, with the queue "plain" that needs no advice beside the advised one.
@@ -88,3 +90,27 @@
     assert_eq!(cell.summary(START).steps_reserved, 1, "the task of the other job");
     assert_eq!(cell.summary(START).cpu_kept_milli, 0);
 }
+
+// What runs on a worker whose capacity shrank below it was counted as room that a gang will have.
+#[test]
+fn no_room_is_kept_for_a_gang_on_a_worker_that_shrank_below_its_size() {
+    let mut cell = cell(1);
+    add(&mut cell, 9, "plain", Step { long_running: true, ..step(1, 3_000, 1_000) });
+    tick(&mut cell, START);
+    write_all(&mut cell, START);
+    tick(&mut cell, START);
+    let small = WorkerInfo {
+        id: "w0".into(),
+        incarnation: 1,
+        service: "s".into(),
+        capacity: Resources::new(1_000, 4_000, 0),
+        ..WorkerInfo::default()
+    };
+    cell.update_workers(vec![small], true, START);
+    add(&mut cell, 1, "q", gang(2, 1_000));
+    let first = requests(&mut cell, START);
+    assert_eq!(first.len(), 1);
+    answer_expired(&mut cell, first);
+    tick(&mut cell, START);
+    assert_eq!(cell.summary(START).cpu_kept_milli, 0);
+}
