--- a/crates/catkin-cell/src/cell/crashes.rs
+++ b/crates/catkin-cell/src/cell/crashes.rs
@@ -140,7 +140,10 @@
     /// Ends the jobs that are given up.
     pub(super) fn give_up_jobs(&mut self, out: &mut Vec<Action>) {
         for id in std::mem::take(&mut self.jobs_to_give_up) {
-            self.end_job(id, State::Failed, out);
+            if self.is_open(id) {
+                self.counts.jobs_given_up += 1;
+                self.end_job(id, State::Failed, out);
+            }
         }
     }
 
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -152,6 +152,8 @@
     pub lost: u64,
     /// Starts that a worker declined.
     pub declined: u64,
+    /// Jobs that were given up because workers crashed under their tasks.
+    pub jobs_given_up: u64,
     /// Gangs that were given up because not all members started in time.
     pub gangs_given_up: u64,
     /// Reservations that were released without a start.
--- a/crates/catkin-node/src/metrics/mod.rs
+++ b/crates/catkin-node/src/metrics/mod.rs
@@ -64,7 +64,7 @@
 
     fn observe_cell(&self) {
         type Value = fn(&CellSnapshot) -> u64;
-        let values: [(&'static str, &'static str, &str, Value); 17] = [
+        let values: [(&'static str, &'static str, &str, Value); 21] = [
             ("catkin_cell_jobs", "state", "open", |c| c.summary.jobs as u64),
             ("catkin_cell_jobs", "state", "held", |c| c.summary.jobs_held as u64),
             ("catkin_cell_steps", "state", "waiting", |c| c.summary.steps_waiting as u64),
@@ -73,6 +73,9 @@
             ("catkin_cell_tasks", "state", "held", |c| c.summary.tasks_held as u64),
             ("catkin_cell_workers", "state", "known", |c| c.summary.workers as u64),
             ("catkin_cell_workers", "state", "usable", |c| c.summary.workers_usable as u64),
+            ("catkin_cell_workers", "state", "on_trial", |c| c.summary.workers_on_trial as u64),
+            ("catkin_cell_cpu_milli", "state", "used", |c| c.summary.cpu_used_milli),
+            ("catkin_cell_cpu_milli", "state", "all", |c| c.summary.cpu_all_milli),
             ("catkin_cell_questions", "state", "waiting", |c| c.asks_waiting as u64),
             ("catkin_cell_questions", "state", "longest_wait_ms", |c| millis(c.longest_ask_wait)),
             ("catkin_cell_starts", "state", "ordered", |c| c.counts.starts),
@@ -81,6 +84,7 @@
             ("catkin_cell_ends", "how", "failed", |c| c.counts.failed),
             ("catkin_cell_ends", "how", "lost", |c| c.counts.lost),
             ("catkin_cell_ends", "how", "declined", |c| c.counts.declined),
+            ("catkin_cell_ends", "how", "job_given_up", |c| c.counts.jobs_given_up),
             ("catkin_cell_ends", "how", "gang_given_up", |c| c.counts.gangs_given_up),
         ];
         for (name, label, value, f) in values {
--- a/crates/catkin-node/src/owner/report.rs
+++ b/crates/catkin-node/src/owner/report.rs
@@ -54,6 +54,7 @@
             failed = totals.failed,
             lost = totals.lost,
             declined = totals.declined,
+            jobs_given_up = totals.jobs_given_up,
             gangs_given_up = totals.gangs_given_up,
             reservations_expired = totals.reservations_expired,
             "owner: cell"
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -5,6 +5,7 @@
 mod support;
 
 mod check;
+mod crashes;
 #[expect(dead_code, reason = "the rest is used by the soak test")]
 mod deployment;
 mod load;
