--- a/crates/catkin-cell/src/cell/advice.rs
+++ b/crates/catkin-cell/src/cell/advice.rs
@@ -110,7 +110,10 @@
     ) -> Vec<WorkerIndex> {
         let demand = step_def.demand();
         let cap = u64::from(step_def.task_limit());
-        let free = |idx: WorkerIndex| fit_count(&self.worker(idx).free(), &demand).min(cap);
+        let free = |idx: WorkerIndex| {
+            let w = self.worker(idx);
+            if w.trial.is_some() { 0 } else { fit_count(&w.free(), &demand).min(cap) }
+        };
         let advised = step.tickets.iter().flat_map(HashMap::keys).copied();
         let known = advised.filter(|idx| eligible.contains(*idx)).map(free);
         let known = known.fold(0, u64::saturating_add);
--- a/crates/catkin-cell/tests/cell/kept_room.rs
+++ b/crates/catkin-cell/tests/cell/kept_room.rs
@@ -1,7 +1,7 @@
 //! Room that is kept for waiting gangs.
 
 use crate::owner::step;
-use crate::queued_advice::{START, add, advised_queue, owner, tick, write_all};
+use crate::queued_advice::{START, add, advised_queue, hear, owner, tick, write_all};
 use catkin_cell::cell::AdviceAnswer;
 use catkin_cell::job::Step;
 use catkin_cell::queue::Queue;
@@ -114,3 +114,28 @@
     tick(&mut cell, START);
     assert_eq!(cell.summary(START).cpu_kept_milli, 0);
 }
+
+// The known workers of a step were kept for tasks that may have crashed others, and it asked about no further ones.
+#[test]
+fn step_asks_about_further_workers_while_the_known_ones_are_kept_for_trials() {
+    let mut cell = owner(3, 2);
+    cell.configure([("plain".to_owned(), Queue { advice: None, ..advised_queue() })]);
+    add(&mut cell, 9, "plain", step(1, 3_000, 60_000));
+    tick(&mut cell, START);
+    write_all(&mut cell, START);
+    let started = tick(&mut cell, START);
+    let [Action::Start(s)] = started.as_slice() else { panic!("{started:?}") };
+    cell.handle_other_worker(s.worker, START, START);
+    tick(&mut cell, START);
+    assert_eq!(cell.summary(START).workers_on_trial, 1);
+    add(&mut cell, 1, "q", step(1, 500, 1_000));
+    let first = requests(&mut cell, START);
+    assert_eq!(first[0].workers.len(), 1, "one worker is left");
+    let rows = vec![(first[0].workers[0].clone(), "t".to_owned())];
+    cell.handle_advice(&first[0], AdviceAnswer::Eligible(rows), START, START);
+    let third = cell.worker_indices().nth(2).expect("it is listed");
+    hear(&mut cell, third, START);
+    let further = requests(&mut cell, START);
+    assert_eq!(further.len(), 1);
+    assert_eq!(further[0].workers, [cell.contact(third).0]);
+}
--- a/crates/catkin-cell/tests/cell/queued_advice.rs
+++ b/crates/catkin-cell/tests/cell/queued_advice.rs
@@ -61,7 +61,7 @@
     cell
 }
 
-fn hear(cell: &mut Cell, idx: WorkerIndex, now: Duration) {
+pub fn hear(cell: &mut Cell, idx: WorkerIndex, now: Duration) {
     let report = WorkerReport { clock_ms: millis(now), incarnation: 1, ..WorkerReport::default() };
     cell.handle_report(idx, now, &report, now, &mut Vec::new());
 }
