--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod rank;
 mod save;
 mod settle;
+mod trials;
 mod workers;
 
 pub use advice::AdviceAnswer;
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -1,8 +1,8 @@
 //! Placement: decides which steps get room and reserves it on workers.
 
 use super::Cell;
-use super::crashes::Startable;
 use super::plan::{Candidate, Plan, distinct_workers, fit_count};
+use super::trials::Startable;
 use crate::action::Action;
 use crate::job::Step;
 use crate::step::StepState;
@@ -24,7 +24,7 @@
     kept_gangs: Vec<KeptGang>,
     /// The services that have so little free room that some is kept for urgent tasks and for gangs.
     scarce_services: HashSet<String>,
-    /// How many more workers may be kept for trials in this pass.
+    /// How many more workers may be kept for trials in this pass while capacity is scarce.
     trials_left: usize,
     /// How many more steps may send requests to the adviser in this pass.
     advice_budget: usize,
@@ -190,8 +190,7 @@
         self.service(r).is_some_and(|s| pass.scarce_services.contains(s))
     }
 
-    /// Returns whether a worker may be kept for a trial of the step. While capacity is scarce, the number of such workers
-    /// is limited.
+    /// Returns whether a worker may be kept for a trial of the step.
     pub(super) fn may_try(&self, r: StepRef, pass: &Pass) -> bool {
         pass.trials_left > 0 || !self.is_scarce(r, pass)
     }
