Cell: workers for trials are counted only when a suspect waits

The count now runs for a step that waits for a trial while capacity is scarce; a worker that is kept counts at once, so that the sum over a pass stays the same. No change of behaviour.

--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -24,8 +24,6 @@
     kept_gangs: Vec<KeptGang>,
     /// The services that have so little free room that some is kept for urgent tasks and for gangs.
     scarce_services: HashSet<String>,
-    /// How many more workers may be kept for trials in this pass while capacity is scarce.
-    trials_left: usize,
     /// How many more steps may send requests to the adviser in this pass.
     advice_budget: usize,
 }
@@ -60,8 +58,7 @@
         let advice_budget = self.opt.max_pending_advice.saturating_sub(pending);
         self.settle_steps(now);
         let scarce_services = self.scarce_services(now);
-        let trials_left = self.trials_left(now);
-        let mut pass = Pass { scarce_services, trials_left, advice_budget, ..Pass::default() };
+        let mut pass = Pass { scarce_services, advice_budget, ..Pass::default() };
         for (_, r) in order {
             self.schedule_step(r, &mut pass, now, out);
         }
@@ -94,7 +91,7 @@
             return;
         }
         let startable = self.startable(r, step);
-        if startable.is_trial() && !self.may_try(r, pass) {
+        if startable.is_trial() && !self.may_try(r, pass, now) {
             return;
         }
         let plan = self.plan_step(r, step_def, &startable, &eligible, pass);
@@ -112,8 +109,7 @@
         if !ready.is_empty() {
             let step_def = step_def.clone();
             if startable.is_trial() {
-                let workers = self.keep_for_trial(r, &ready);
-                pass.trials_left = pass.trials_left.saturating_sub(workers);
+                self.keep_for_trial(r, &ready);
             }
             self.reserve(r, &step_def, ready, now);
         } else if step_def.gang && pass.kept_gangs.len() < MAX_KEPT_GANGS && self.is_scarce(r, pass)
@@ -168,8 +164,7 @@
         gang_room: HashMap<WorkerIndex, Resources>,
         now: Duration,
     ) -> Pass {
-        let (scarce_services, trials_left) = (self.scarce_services(now), self.trials_left(now));
-        Pass { gang_room, scarce_services, trials_left, ..Pass::default() }
+        Pass { gang_room, scarce_services: self.scarce_services(now), ..Pass::default() }
     }
 
     fn is_advice_pending(&self, r: StepRef) -> bool {
@@ -191,8 +186,8 @@
     }
 
     /// Returns whether a worker may be kept for a trial of the step.
-    pub(super) fn may_try(&self, r: StepRef, pass: &Pass) -> bool {
-        pass.trials_left > 0 || !self.is_scarce(r, pass)
+    pub(super) fn may_try(&self, r: StepRef, pass: &Pass, now: Duration) -> bool {
+        !self.is_scarce(r, pass) || self.trials_left(now) > 0
     }
 
     /// Returns the services of whose usable workers a large part is reserved.
--- a/crates/catkin-cell/src/cell/queued_advice.rs
+++ b/crates/catkin-cell/src/cell/queued_advice.rs
@@ -59,7 +59,7 @@
             return self.workers_to_ask(step, step_def, &eligible, &j.job.queue);
         }
         let startable = self.startable(r, step);
-        if startable.is_trial() && !self.may_try(r, &pass) {
+        if startable.is_trial() && !self.may_try(r, &pass, now) {
             return Vec::new();
         }
         let plan = self.plan_step(r, step_def, &startable, &eligible, &pass);
--- a/crates/catkin-cell/src/cell/trials.rs
+++ b/crates/catkin-cell/src/cell/trials.rs
@@ -5,7 +5,7 @@
 
 use super::Cell;
 use super::crashes::{MAX_CRASHES_IF_BLAMED, MAX_SILENCE, SUSPICION_PERIOD};
-use super::plan::{Plan, distinct_workers};
+use super::plan::Plan;
 use crate::action::Action;
 use crate::step::{JobState, StepState, TaskState};
 use crate::task::{StepRef, Task};
@@ -81,21 +81,18 @@
         })
     }
 
-    /// Returns how many more workers may be kept for trials.
+    /// Returns how many more workers may be kept for trials while capacity is scarce.
     pub(super) fn trials_left(&self, now: Duration) -> usize {
         let usable = || self.worker_indices().filter(|idx| self.is_usable(*idx, now));
         let trials = usable().filter(|idx| self.worker(*idx).trial.is_some()).count();
         (usable().count() / WORKERS_PER_TRIAL).max(1).saturating_sub(trials)
     }
 
-    /// Keeps other tasks from the workers of a plan until the tasks that are tried there have passed or ended. Returns the
-    /// number of workers.
-    pub(super) fn keep_for_trial(&mut self, r: StepRef, plan: &Plan) -> usize {
-        let workers = distinct_workers(plan.iter().map(|(_, idx)| *idx));
-        for idx in &workers {
+    /// Keeps other tasks from the workers of a plan until the tasks that are tried there have passed or ended.
+    pub(super) fn keep_for_trial(&mut self, r: StepRef, plan: &Plan) {
+        for (_, idx) in plan {
             self.worker_mut(*idx).trial = Some(r);
         }
-        workers.len()
     }
 
     /// Returns when a task other than those of the step was last started on the worker, [`Duration::MAX`] if one is about
