Cell: a step is reserved in one way, and a task is looked up in one way

Re-reading the whole change: both callers of reserve kept workers for a trial first, which reserve now does; the look-up of a task by its step and index stood in four places, when a worker was last heard in three; the counts of groups of crashes in a row were never read.

--- a/crates/catkin-cell/src/cell/crashes.rs
+++ b/crates/catkin-cell/src/cell/crashes.rs
@@ -8,7 +8,6 @@
 use crate::action::Action;
 use crate::event::Event;
 use crate::job::State;
-use crate::step::TaskState;
 use crate::task::{StepRef, Task};
 use crate::worker::{Assignment, Receipt, Victim, WorkerIndex};
 use std::time::Duration;
@@ -62,7 +61,7 @@
     /// has fallen silent may have been cut off: its crash is counted once it is known to have restarted.
     pub(super) fn suspect_tasks(&mut self, idx: WorkerIndex) {
         let w = self.worker(idx);
-        let heard_at = w.clock_reading.map_or(Duration::ZERO, |(_, at)| at);
+        let heard_at = w.heard_at().unwrap_or_default();
         let victim = |(task, a): (&Task, &Assignment)| {
             let ran_for = heard_at.saturating_sub(a.started_at?);
             if ran_for >= CLEARING_PERIOD {
@@ -125,12 +124,4 @@
         let assembly = if self.is_gang(r) { self.assembly_timeout() } else { Duration::ZERO };
         SUSPICION_PERIOD + assembly
     }
-
-    pub(super) fn task(&self, task: Task) -> Option<&TaskState> {
-        self.step(task.step)?.tasks.get(task.index as usize)
-    }
-
-    pub(super) fn task_mut(&mut self, task: Task) -> Option<&mut TaskState> {
-        self.step_mut(task.step)?.tasks.get_mut(task.index as usize)
-    }
 }
--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -236,8 +236,7 @@
 
     /// Stops a task on the worker that it is assigned to, or releases its reservation.
     pub(super) fn stop_task(&mut self, task: Task, out: &mut Vec<Action>) {
-        let at = self.step(task.step).and_then(|s| s.tasks.get(task.index as usize)?.assigned_to);
-        let Some(at) = at else { return };
+        let Some(at) = self.task(task).and_then(|t| t.assigned_to) else { return };
         let w = self.worker_mut(at);
         let incarnation = w.info.incarnation;
         let Some(assignment) = w.assignments.get_mut(&task) else { return };
--- a/crates/catkin-cell/src/cell/mod.rs
+++ b/crates/catkin-cell/src/cell/mod.rs
@@ -24,7 +24,7 @@
 use crate::event::Event;
 use crate::job::State;
 use crate::queue::Queue;
-use crate::step::{JobState, StepState};
+use crate::step::{JobState, StepState, TaskState};
 use crate::task::{StepRef, Task};
 use crate::worker::{Worker, WorkerIndex};
 use catkin_place::health::{self, HealthTracker};
@@ -328,6 +328,14 @@
         self.jobs.get_mut(&r.job)?.step_mut(r)
     }
 
+    fn task(&self, task: Task) -> Option<&TaskState> {
+        self.step(task.step)?.tasks.get(task.index as usize)
+    }
+
+    fn task_mut(&mut self, task: Task) -> Option<&mut TaskState> {
+        self.step_mut(task.step)?.tasks.get_mut(task.index as usize)
+    }
+
     /// Adds the step to the waiting steps or removes it, depending on its state.
     fn update_waiting(&mut self, r: StepRef) {
         let is_waiting = self.jobs.get(&r.job).is_some_and(|j| {
--- a/crates/catkin-cell/src/cell/place.rs
+++ b/crates/catkin-cell/src/cell/place.rs
@@ -108,10 +108,7 @@
         };
         if !ready.is_empty() {
             let step_def = step_def.clone();
-            if startable.is_trial() {
-                self.keep_for_trial(r, &ready);
-            }
-            self.reserve(r, &step_def, ready, now);
+            self.reserve(r, &step_def, &startable, ready, now);
         } else if step_def.gang && pass.kept_gangs.len() < MAX_KEPT_GANGS && self.is_scarce(r, pass)
         {
             self.keep_gang_room(r, step_def, step, &eligible, pass);
@@ -334,8 +331,18 @@
         if urgent || step_def.gang { Resources::default() } else { self.urgent_size }
     }
 
-    /// Reserves the room of a plan.
-    pub(super) fn reserve(&mut self, r: StepRef, step_def: &Step, plan: Plan, now: Duration) {
+    /// Reserves the room of a plan for the tasks that it was made for.
+    pub(super) fn reserve(
+        &mut self,
+        r: StepRef,
+        step_def: &Step,
+        startable: &Startable,
+        plan: Plan,
+        now: Duration,
+    ) {
+        if startable.is_trial() {
+            self.keep_for_trial(r, &plan);
+        }
         let expected = Duration::from_millis(step_def.estimate_ms);
         for (i, idx) in plan {
             let task = r.task(i);
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -319,9 +319,7 @@
         };
         w.assign(r.task, assignment);
         if wanted {
-            if let Some(t) =
-                self.step_mut(r.task.step).and_then(|s| s.tasks.get_mut(r.task.index as usize))
-            {
+            if let Some(t) = self.task_mut(r.task) {
                 t.assigned_to = Some(idx);
                 t.run = t.run.max(r.run);
             }
--- a/crates/catkin-cell/src/cell/queued_advice.rs
+++ b/crates/catkin-cell/src/cell/queued_advice.rs
@@ -72,10 +72,7 @@
             // The next pass starts the step.
             return stale;
         }
-        if startable.is_trial() {
-            self.keep_for_trial(r, &plan);
-        }
-        self.reserve(r, &step_def, plan, now);
+        self.reserve(r, &step_def, &startable, plan, now);
         self.reserved_workers_to_ask(r, now)
     }
 
--- a/crates/catkin-cell/src/cell/trials.rs
+++ b/crates/catkin-cell/src/cell/trials.rs
@@ -121,7 +121,7 @@
         for idx in on_trial {
             may_launch &= now.saturating_sub(self.last_start_beside(r, idx)) >= SUSPICION_PERIOD;
             let w = self.worker_mut(idx);
-            if w.clock_reading.is_some_and(|(_, at)| now.saturating_sub(at) < MAX_SILENCE) {
+            if w.heard_at().is_some_and(|at| now.saturating_sub(at) < MAX_SILENCE) {
                 continue;
             }
             may_launch = false;
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -227,10 +227,7 @@
 
     /// Handles a task that disappeared from the worker without reporting an end.
     pub(super) fn mark_lost(&mut self, task: Task, worker: WorkerIndex) {
-        let assigned_here = self
-            .step(task.step)
-            .and_then(|s| s.tasks.get(task.index as usize))
-            .is_some_and(|t| t.assigned_to == Some(worker));
+        let assigned_here = self.task(task).is_some_and(|t| t.assigned_to == Some(worker));
         if assigned_here {
             self.counts.lost += 1;
             self.events.push(Event::TaskLost { task, worker });
--- a/crates/catkin-cell/src/progress/wire.rs
+++ b/crates/catkin-cell/src/progress/wire.rs
@@ -14,7 +14,7 @@
 use catkin_types::WorkerId;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The bytes of a step in the plain form, beside its tasks and workers.
 const PLAIN_STEP_BYTES: usize = 52;
@@ -84,8 +84,9 @@
 
 /// The index of a task that no step has.
 const NO_TASK: u32 = u32::MAX;
-/// Upper bound on the groups of tasks under which workers crashed in a row, and on the tasks of each.
+/// Upper bound on the groups of tasks under which workers crashed that a row holds.
 const MAX_CRASHED_GROUPS: usize = 12;
+/// Upper bound on the tasks of such a group.
 const MAX_CRASHED_TASKS: usize = 60;
 
 #[derive(Clone, Serialize, Deserialize)]
@@ -165,14 +166,12 @@
 
 /// Leaves out crashes that a row may have no space for, those of tasks with the fewest crashes first.
 fn limit_crashed(steps: &mut [StepProgress]) {
-    let mut groups: BTreeMap<(Reverse<CrashCount>, usize), usize> = BTreeMap::new();
-    for (n, step) in steps.iter().enumerate() {
-        for c in &step.crashed {
-            *groups.entry((Reverse(c.count), n)).or_default() += 1;
-        }
-    }
-    let mut room: BTreeMap<(Reverse<CrashCount>, usize), usize> =
-        groups.into_keys().take(MAX_CRASHED_GROUPS).map(|key| (key, MAX_CRASHED_TASKS)).collect();
+    let keys = |(n, step): (usize, &StepProgress)| {
+        step.crashed.iter().map(|c| (Reverse(c.count), n)).collect::<Vec<_>>()
+    };
+    let groups: BTreeSet<_> = steps.iter().enumerate().flat_map(keys).collect();
+    let kept = groups.into_iter().take(MAX_CRASHED_GROUPS);
+    let mut room: BTreeMap<_, usize> = kept.map(|key| (key, MAX_CRASHED_TASKS)).collect();
     for (n, step) in steps.iter_mut().enumerate() {
         step.crashed.retain(|c| {
             let room = room.get_mut(&(Reverse(c.count), n)).filter(|room| **room > 0);
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -282,6 +282,11 @@
         !self.host.declared.fits(&self.host.capacity)
     }
 
+    /// Returns when the worker last answered in its current incarnation.
+    pub(crate) fn heard_at(&self) -> Option<Duration> {
+        self.clock_reading.map(|(_, at)| at)
+    }
+
     /// Returns the lowest value that the worker's clock can show at `now`.
     pub(crate) fn min_clock_ms(&self, now: Duration) -> Option<u64> {
         let (clock, read_at) = self.clock_reading?;
@@ -314,7 +319,7 @@
 
     /// Returns whether the worker is known to have run the task for `period`.
     pub(crate) fn has_run_for(&self, task: &Task, period: Duration) -> bool {
-        let heard_at = self.clock_reading.map_or(Duration::ZERO, |(_, at)| at);
+        let heard_at = self.heard_at().unwrap_or_default();
         let a = self.assignments.get(task).filter(|a| a.has_run);
         a.and_then(|a| a.started_at).is_some_and(|at| heard_at.saturating_sub(at) >= period)
     }
