Review, case 1: a task that has ended runs again on an executor that was dark for a moment

Seen: an executor is dark for 0.6 s and is back under its name. A short task that starts there ends `done` as the first end of the new life, is acknowledged unread by the numbers of the former one, and is started again (TWICE). Cause, as far as known: a poll acknowledges by the incarnation that the owner knew last, also after one without an answer.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standin/run.sh" cancel "review/1"
+exec "$(dirname "$0")/../standin/run.sh" cancel "review/2"
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 /// The interval of the executors' entries.
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// One way.
 const BETWEEN_REGIONS: Duration = Duration::from_millis(30);
 const HOST: &str = "desk.example";
@@ -123,9 +123,9 @@
             let mut silent: BTreeMap<String, u32> = BTreeMap::new();
             for seq_no in 1.. {
                 for (id, (executor, state)) in executors.lock().unwrap().iter() {
-                    if executor.is_up() {
+                    if executor.is_listed() {
                         store.write("servers", id, &executor.entry(state, seq_no));
-                    } else {
+                    } else if !executor.is_up() {
                         let missed = silent.entry(id.clone()).or_default();
                         *missed += 1;
                         if *missed == 3 {
--- a/review/standin/executor.rs
+++ b/review/standin/executor.rs
@@ -15,6 +15,8 @@
 /// How long an executor is away that a task has crashed, and how long after the start it crashes.
 const DOWN: Duration = Duration::from_secs(4);
 const CRASH_DELAY_MS: u64 = 150;
+/// A call that waits this long for an end is a long one.
+const LONG_CALL_MS: u64 = 1_000;
 const TICK: Duration = Duration::from_millis(5);
 /// The largest number of ends in an answer.
 const MAX_ENDS: usize = 500;
@@ -38,6 +40,7 @@
     started: Instant,
     /// Its first label.
     kind: String,
+    first_entry: Instant,
     /// Whether it was called for its lists in this life.
     greeted: bool,
     /// When it crashes, on its own clock.
@@ -54,6 +57,7 @@
     fn new(kind: &str) -> Self {
         Self {
             kind: kind.to_owned(),
+            first_entry: Instant::now(),
             greeted: false,
             born_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
             started: Instant::now(),
@@ -84,6 +88,7 @@
     advised: bool,
     rejected: AtomicU64,
     mislabelled: AtomicU64,
+    long_calls: AtomicU64,
     record: Arc<Record>,
 }
 
@@ -106,6 +111,7 @@
             advised,
             rejected: AtomicU64::new(0),
             mislabelled: AtomicU64::new(0),
+            long_calls: AtomicU64::new(0),
             record: Arc::clone(record),
         });
         *slot.lock().unwrap() = Some(Arc::clone(&executor));
@@ -137,6 +143,36 @@
         *self.state() = State::new(kind);
     }
 
+    /// Loses power, is back after a while under its name and at its address, and writes its first entry one interval of
+    /// its entries later.
+    pub fn blackout(&self, down: Duration, interval: Duration) {
+        let running = std::mem::take(&mut self.state().running);
+        self.power.silence();
+        self.end.notify_all();
+        self.record.write(&format!("executor {} loses power", self.id));
+        for (task, run) in running {
+            self.record.ended(&self.id, &task, run.number, "crashed");
+        }
+        std::thread::sleep(down);
+        let kind = self.state().kind.clone();
+        self.begin_as(&kind);
+        self.state().first_entry = Instant::now() + interval;
+        self.serve_again();
+    }
+
+    /// Whether its entry is to be written.
+    pub fn is_listed(&self) -> bool {
+        self.is_up() && Instant::now() >= self.state().first_entry
+    }
+
+    /// Waits until a call for the lists begins to wait here.
+    pub fn wait_for_long_call(&self) {
+        let seen = self.long_calls.load(Ordering::SeqCst);
+        while self.long_calls.load(Ordering::SeqCst) == seen {
+            std::thread::sleep(TICK);
+        }
+    }
+
     /// The process ends, and with it everything that runs here.
     pub fn end_process(&self) {
         let running = std::mem::take(&mut self.state().running);
@@ -383,6 +419,9 @@
 
     fn hold(&self, call: &Json) -> (u16, String) {
         let until = Instant::now() + Duration::from_millis(call.get("wait_ms").num().unwrap_or(0));
+        if call.get("wait_ms").num().unwrap_or(0) >= LONG_CALL_MS {
+            self.long_calls.fetch_add(1, Ordering::SeqCst);
+        }
         let mut s = self.state();
         if Self::is_fenced(&mut s, call) {
             return Self::reject(&s, "fence");
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod json;
 mod kinds;
 mod lasting;
+mod numbers;
 mod record;
 mod store;
 
@@ -43,6 +44,7 @@
         "deadly" => deadly::play(&record, trouble),
         "dropped" => dropped::play(&record, trouble),
         "failures" => failures::play(&record, trouble),
+        "numbers" => numbers::play(&record, trouble),
         "kinds" => kinds::play(&record, trouble),
         "lasting" => lasting::play(&record, trouble),
         _ => Verdict::NotRun("no such case".to_owned()),
