Review, case 4: the executor that leaves is one of 16

Seen: the script took one of 5 executors away, a share of 0.2; the site's largest for scale_in is 0.065.

--- a/review/standin/lasting.rs
+++ b/review/standin/lasting.rs
@@ -18,7 +18,7 @@
 const BACK_MS: u64 = 9_000 + 500;
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Verdict {
-    let opt = Options { daemons: 3, executors: 5, near: 5, advised: false };
+    let opt = Options { daemons: 3, executors: 16, near: 16, advised: false };
     play_on(&mut Deployment::start(record, opt), trouble)
 }
 
