Owner: a job that is stored after its client was answered, or found in the table, is logged

Three hypotheses: the owner's own open write lands, a gate's direct write lands, the table carries a call out whose sender has given up. The logs did not tell them apart: the gate's last line is 'job stored: Unknown' in each.

Now the owner says which jobs it stored after the time that a client waits, and which it found in the table.

--- a/crates/catkin-node/src/owner/commits/mod.rs
+++ b/crates/catkin-node/src/owner/commits/mod.rs
@@ -8,7 +8,9 @@
 use crate::table::{Head, PART_COUNT, part_of};
 use batch::{Batch, Content};
 use catkin_cell::Job;
+use catkin_cell::worker::millis;
 use catkin_platform::store::MAX_ENTRIES;
+use catkin_types::id::format_job;
 use catkin_types::{Epoch, JobId};
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -182,7 +184,12 @@
         self.cell.handle_written(&committed.durable.writes, now);
         self.cell.handle_refused(&committed.refused.writes);
         self.settle_submissions(committed.refused.submissions, WriteOutcome::Refused);
-        for Submission { id, job, tx, .. } in committed.durable.submissions {
+        for Submission { id, job, tx, received_at } in committed.durable.submissions {
+            let waited = now.saturating_sub(received_at);
+            if waited >= ACCEPT_BUDGET {
+                let (job, waited_ms) = (format_job(id), millis(waited));
+                tracing::info!(job, waited_ms, "owner: job stored after its client was answered");
+            }
             self.add(id, job, now);
             // The client may have left.
             let _ = tx.send(WriteOutcome::Durable);
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -328,7 +328,10 @@
     /// Applies the current row of a job: adds a job that is unknown, and cancels a known one whose row is cancelled.
     fn apply_job_row(&mut self, row: JobRow, now: Duration, out: &mut Vec<Action>) {
         match row {
-            JobRow::Read(id, job) if !self.cell.is_known(id) => self.add(id, job, now),
+            JobRow::Read(id, job) if !self.cell.is_known(id) => {
+                tracing::info!(job = format_job(id), "owner: job found in the table");
+                self.add(id, job, now);
+            }
             JobRow::Read(id, job) if job.cancelled => self.cell.cancel(id, out),
             JobRow::Read(..) => {}
             JobRow::Unreadable(job) => self.hold(job, now),
