A job that is cancelled before it is accepted is withdrawn in the table before 410 is sent

Callers saw: POST 504, DELETE 410 ('no such job'), and the job ran to its end.

Ruled out as a mend: an answer from the owner's memory, as the sender of a late call may have ended.

Now the cancellation writes the job's end, marked as withdrawn, if the job has neither row nor end. Every write that accepts a job has the condition that there is no end, so it fails. A submission of a withdrawn job is answered 503 without Retry-After.

--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -4,11 +4,10 @@
 use super::store::{self, WriteOutcome};
 use crate::cx::Cx;
 use crate::peers;
-use crate::table::{self, ENDED, End, JOBS, job_key};
+use crate::table::record::JobRecord;
 use catkin_cell::{Job, State};
 use catkin_http::body::{self, Body};
 use catkin_platform::client_api;
-use catkin_platform::error::Error;
 use catkin_schema::peer::{Request, Response as Answer};
 use catkin_types::JobId;
 use catkin_types::id::format_job;
@@ -24,13 +23,6 @@
 /// The timeout of a notification to the owner. If it fails, the owner finds the change in the table.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The state of a job in the table.
-pub(super) enum JobRecord {
-    Open { job: Job, version: u64 },
-    Ended(State),
-    Missing,
-}
-
 /// Stores a job and responds whether it is accepted.
 pub(super) async fn accept(
     cx: &Arc<Cx>,
@@ -43,9 +35,9 @@
     match outcome {
         WriteOutcome::Durable => body::text(200, "accepted\n"),
         WriteOutcome::AlreadyDone => body::text(200, "accepted before\n"),
-        WriteOutcome::NotCommitted | WriteOutcome::NoSuchJob => {
-            refused(cx, 503, "the job is not stored")
-        }
+        WriteOutcome::NotCommitted => refused(cx, 503, "the job is not stored"),
+        // Without Retry-After: no later attempt is accepted either.
+        WriteOutcome::NoSuchJob => body::text(503, "the job was cancelled and is not stored\n"),
         WriteOutcome::Refused => {
             body::text(413, "the job is larger than the table service allows\n")
         }
@@ -95,7 +87,7 @@
         // The table does not show whether a task has started; only the owner knows.
         Some(JobRecord::Open { .. }) => state_response(State::Running),
         Some(JobRecord::Ended(state)) => state_response(state),
-        Some(JobRecord::Missing) => body::text(410, "no such job\n"),
+        Some(JobRecord::Missing | JobRecord::Withdrawn) => body::text(410, "no such job\n"),
         None => refused(cx, 503, "the state of the job can't be read now"),
     }
 }
@@ -123,7 +115,7 @@
         if left.is_zero() {
             return None;
         }
-        match read_record(cx, id, left).await {
+        match JobRecord::read(&cx.table, id, left).await {
             Ok(record) => return Some(record),
             Err(e) => {
                 tracing::debug!(
@@ -136,26 +128,6 @@
     }
 }
 
-/// Reads a job. The end of a job is written in the transaction that removes its row. The row is therefore read first:
-/// if it is missing, the end, if any, is visible.
-pub(super) async fn read_record(
-    cx: &Cx,
-    id: JobId,
-    max_wait: Duration,
-) -> Result<JobRecord, Error> {
-    if let Some(row) = cx.table.read_one(&job_key(JOBS, id), max_wait).await? {
-        let job: Job = table::decode(&row)
-            .ok_or_else(|| Error::Malformed(format!("the row of job {}", row.key)))?;
-        return Ok(JobRecord::Open { job, version: row.version });
-    }
-    let Some(row) = cx.table.read_one(&job_key(ENDED, id), max_wait).await? else {
-        return Ok(JobRecord::Missing);
-    };
-    let end: End = table::decode(&row)
-        .ok_or_else(|| Error::Malformed(format!("the end of job {}", row.key)))?;
-    Ok(JobRecord::Ended(end.state))
-}
-
 /// Cancels a job and responds once the cancellation is durable.
 pub(super) async fn cancel(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Response<Body> {
     let outcome = store::cancel(cx, id, deadline).await;
--- a/crates/catkin-node/src/gate/store.rs
+++ b/crates/catkin-node/src/gate/store.rs
@@ -1,11 +1,12 @@
 //! Durable writes of jobs, through the owner of the cell or directly by this daemon.
 
-use super::jobs::{JobRecord, call_owner, notify_owner, read_job, read_record};
+use super::jobs::{call_owner, notify_owner, read_job};
 use crate::cx::Cx;
-use crate::table::{self, JOBS, job_key};
+use crate::table;
+use crate::table::record::{Cancellation, JobRecord};
 use catkin_cell::Job;
 use catkin_platform::error::Error;
-use catkin_platform::store::{CommitOutcome, Row, Transaction};
+use catkin_platform::store::{CommitOutcome, Row};
 use catkin_schema::peer::{Request, Response};
 use catkin_types::id::format_job;
 use catkin_types::{Code, JobId};
@@ -30,7 +31,7 @@
     Durable,
     /// The job was accepted before, or has ended.
     AlreadyDone,
-    /// The job does not exist.
+    /// The job does not exist, and never will: it was cancelled before it was accepted.
     NoSuchJob,
     /// The write was not carried out, and will not be.
     NotCommitted,
@@ -171,8 +172,9 @@
         if left.is_zero() {
             return WriteOutcome::Unknown;
         }
-        match read_record(cx, id, left).await {
+        match JobRecord::read(&cx.table, id, left).await {
             Ok(JobRecord::Missing) => {}
+            Ok(JobRecord::Withdrawn) => return WriteOutcome::NoSuchJob,
             Ok(_) => return WriteOutcome::Durable,
             Err(e) => tracing::debug!(job = format_job(id), "gate: job not looked for: {e}"),
         }
@@ -257,9 +259,12 @@
 }
 
 /// Derives the outcome of an accepting write from the rows of its conflict: the job is stored, by an earlier attempt if
-/// its answer was lost; or it has ended.
+/// its answer was lost; or it has ended; or it was cancelled before it was stored.
 #[must_use]
 pub fn outcome_of_conflict(rows: &[Row], answer_lost: bool) -> WriteOutcome {
+    if rows.iter().any(table::is_withdrawn) {
+        return WriteOutcome::NoSuchJob;
+    }
     let is_open = |r: &Row| table::decode::<Job>(r).is_some_and(|job| !job.steps.is_empty());
     if answer_lost && rows.iter().any(is_open) {
         WriteOutcome::Durable
@@ -284,26 +289,22 @@
     }
 }
 
-/// Cancels a job with calls of this daemon to the table service.
+/// Cancels a job with calls of this daemon to the table service. A job that is not accepted is withdrawn: a write that
+/// accepts it may be open at another daemon, or be carried out late.
 pub async fn cancel_directly(cx: &Cx, id: JobId, deadline: Duration) -> WriteOutcome {
     while let Some(record) = read_job(cx, id, deadline).await {
-        let (job, version) = match record {
-            JobRecord::Missing => return WriteOutcome::NoSuchJob,
-            JobRecord::Ended(_) => return WriteOutcome::AlreadyDone,
-            JobRecord::Open { job, .. } if job.cancelled => return WriteOutcome::Durable,
-            JobRecord::Open { job, version } => (job, version),
+        let (changes, outcome) = match record.cancellation(id, cx.table.clock_ms()) {
+            Cancellation::Marked => return WriteOutcome::Durable,
+            Cancellation::Ended => return WriteOutcome::AlreadyDone,
+            Cancellation::Withdrawn => return WriteOutcome::NoSuchJob,
+            Cancellation::Mark(changes) => (changes, WriteOutcome::Durable),
+            Cancellation::Withdraw(changes) => (changes, WriteOutcome::NoSuchJob),
         };
         let Some(_permit) = write_permit(cx, deadline).await else { return WriteOutcome::Unknown };
-        let key = job_key(JOBS, id);
-        let cancelled = Job { cancelled: true, ..job };
-        let changes = Transaction {
-            expected_versions: vec![(key.clone(), version)],
-            put: vec![(key, table::to_json(&cancelled))],
-            remove: Vec::new(),
-        };
         let left = deadline.saturating_sub(cx.now());
         match cx.table.commit(&changes, left).await {
-            Ok(CommitOutcome::Committed { .. }) => return WriteOutcome::Durable,
+            Ok(CommitOutcome::Committed { .. }) => return outcome,
+            // The job was accepted, changed or ended since it was read.
             Ok(CommitOutcome::Conflict(_)) => {}
             Err(e) => {
                 tracing::debug!(
--- a/crates/catkin-node/src/owner/commits/batch.rs
+++ b/crates/catkin-node/src/owner/commits/batch.rs
@@ -177,10 +177,13 @@
                     if row.version != self.version {
                         return self.outcome_of_change(row);
                     }
-                    let duplicates = self.take_duplicates(&rows);
-                    if duplicates.is_empty() {
+                    let withdrawn =
+                        self.take_stored(|id| is_stored(&rows, id, table::is_withdrawn));
+                    let duplicates = self.take_stored(|id| is_stored(&rows, id, |_| true));
+                    if withdrawn.is_empty() && duplicates.is_empty() {
                         return Written::Superseded;
                     }
+                    settle(owner, withdrawn, WriteOutcome::NoSuchJob);
                     settle(owner, duplicates, WriteOutcome::AlreadyDone);
                     changes = self.changes(cx.table.clock_ms());
                 }
@@ -245,16 +248,18 @@
         }
     }
 
-    /// Removes the new jobs that are stored already, and returns them.
-    fn take_duplicates(&mut self, rows: &[Row]) -> Vec<Submission> {
-        let is_stored = |n: &mut Submission| {
-            let key = catkin_types::id::format_job(n.id);
-            rows.iter().any(|r| r.key == key && r.value.is_some())
-        };
-        self.content.submissions.extract_if(.., is_stored).collect()
+    /// Removes the new jobs for which `is_stored` holds, and returns them.
+    fn take_stored(&mut self, is_stored: impl Fn(JobId) -> bool) -> Vec<Submission> {
+        self.content.submissions.extract_if(.., |n| is_stored(n.id)).collect()
     }
 }
 
+/// Returns whether one of the rows exists, is about the job, and is of this kind.
+fn is_stored(rows: &[Row], id: JobId, is_kind: impl Fn(&Row) -> bool) -> bool {
+    let key = format_job(id);
+    rows.iter().any(|r| r.key == key && r.value.is_some() && is_kind(r))
+}
+
 /// Reports a row that the table service refuses for good.
 fn report_refused(cx: &Cx, content: &Content, why: &str) {
     for (table, id) in content.rows() {
--- a/crates/catkin-node/src/table/mod.rs
+++ b/crates/catkin-node/src/table/mod.rs
@@ -6,13 +6,14 @@
 //! | `shard` | `0`.. | `head` | [`Head`] | the owner, in every transaction on jobs of the part |
 //! | `job` | `0`.. | job | [`catkin_cell::Job`] | the daemon that accepts or cancels it; the owner removes it |
 //! | `progress` | `0`.. | job | [`Progress`] | the owner |
-//! | `ended` | `0`.. | job | [`End`] | the owner |
+//! | `ended` | `0`.. | job | [`End`] | the owner; the daemon that cancels a job that is not accepted |
 
 pub mod availability;
 pub mod client;
 pub mod clock;
 pub mod jobs;
 pub mod latency;
+pub mod record;
 
 use crate::leadership::term::AUTONOMY_LIMIT;
 use catkin_cell::worker::millis;
@@ -73,6 +74,9 @@
     pub state: State,
     /// When the end was written, in milliseconds on the table's clock.
     pub at_ms: u64,
+    /// Whether the job was cancelled before it was accepted: it never existed for clients.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub withdrawn: bool,
 }
 
 /// The table of jobs that have not ended.
@@ -173,6 +177,14 @@
         .ok()
 }
 
+/// Returns whether the row is the end of a job that was cancelled before it was accepted.
+#[must_use]
+pub fn is_withdrawn(row: &Row) -> bool {
+    let value = row.value.as_deref().unwrap_or_default();
+    // Other rows are no ends, and not wrong.
+    read::<End>(value).is_ok_and(|end| end.withdrawn)
+}
+
 /// Returns the changes of a batch of writes of one part, on the condition that its [`Head`] row still has the version
 /// `head_version`.
 #[must_use]
@@ -193,7 +205,7 @@
         match w {
             Write::Progress(id, progress) => put_progress(&mut changes, *id, progress),
             Write::Ended(id, state) => {
-                let end = End { state: *state, at_ms: now_ms };
+                let end = End { state: *state, at_ms: now_ms, withdrawn: false };
                 changes.put.push((job_key(ENDED, *id), to_json(&end)));
                 changes.remove.push(job_key(JOBS, *id));
                 changes.remove.push(job_key(PROGRESS, *id));
--- a/crates/catkin-node/tests/node/jobs.rs
+++ b/crates/catkin-node/tests/node/jobs.rs
@@ -15,7 +15,7 @@
 }
 
 fn end() -> Vec<u8> {
-    to_json(&End { state: State::Completed, at_ms: 5 })
+    to_json(&End { state: State::Completed, at_ms: 5, withdrawn: false })
 }
 
 #[test]
--- a/crates/catkin-node/tests/node/main.rs
+++ b/crates/catkin-node/tests/node/main.rs
@@ -13,4 +13,5 @@
 mod settings;
 mod term;
 mod watch;
+mod withdrawal;
 mod worker_entries;
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -4,6 +4,7 @@
 #[expect(dead_code, reason = "the rest is used by other tests")]
 mod support;
 
+mod cancelled;
 mod check;
 mod crashes;
 #[expect(dead_code, reason = "the rest is used by the soak test")]
