Cell: a failure is durable before the next start of its task, and counts in any order

Seen: a third start after two failed runs, by an owner that had heard of both.

Cause: a failed task was started again while its failure was only in memory, if the step's highest run and the worker were on record already (record_intent compares step-wide); and a new owner took the end of an earlier run for one that was counted when it read the later one first. Beside it: a worker that lists 500 ends, the most of one report, was settled though ends were missing.

Ruled out: that counting in any order is enough alone (a third start can then still go out before the first end is read). The failure's record rides with the batch that is written for it in any case: no further writes, the next start of that task waits for it.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -120,7 +120,7 @@
                 let assignment = t.assigned_to.and_then(|at| self.worker(at).assignments.get(&r.task(i)));
                 let at = t.assigned_to.map(|at| &self.worker(at).info.id);
                 let phase = assignment.map(|h| (h.phase, h.run, h.since));
-                format!("{i}: run {}, failures {}, crashes {}, suspect {}, done {}, worker {at:?}, assignment {phase:?}", t.run, t.failure_count, t.crashes.total(), t.suspect, t.done)
+                format!("{i}: run {}, failures {}, crashes {}, suspect {}, done {}, worker {at:?}, assignment {phase:?}", t.run, t.failures.times(), t.crashes.total(), t.suspect, t.done)
             };
             let open = (0..).zip(&s.tasks).filter(|(_, t)| !t.done);
             let tasks: Vec<String> = open.take(MAX_EXPLAINED_TASKS).map(task).collect();
--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -41,7 +41,8 @@
         }
         let run = reserved.iter().map(|(_, _, run)| *run).max().unwrap_or(1);
         let workers = distinct_workers(reserved.iter().map(|(_, idx, _)| *idx));
-        let durable = self.record_intent(r, run, &workers);
+        let durable =
+            self.record_intent(r, run, &workers) && self.are_failures_durable(r, &reserved);
         let has_tickets = !self.needs_advice(r) || self.tickets_valid(r, &workers, now, out);
         if !(durable && has_tickets && self.may_launch(r, &workers, now, out)) {
             return;
@@ -59,6 +60,16 @@
         }
     }
 
+    /// Returns whether the failures of these tasks of a step, and of its gang, are durable. Otherwise an owner that takes
+    /// over could hear of two failures of a task in any order, or of one whose successor has started.
+    fn are_failures_durable(&self, r: StepRef, tasks: &[(Task, WorkerIndex, u32)]) -> bool {
+        let Some(step) = self.step(r) else { return false };
+        let of_gang = step.tasks.first().filter(|_| self.is_gang(r));
+        let of_tasks = tasks.iter().filter_map(|(task, ..)| step.tasks.get(task.index as usize));
+        let is_durable = |v| self.is_durable(r.job, v);
+        of_tasks.chain(of_gang).all(|t| is_durable(t.failures.required_version))
+    }
+
     fn push_started_event(
         &mut self,
         r: StepRef,
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -51,7 +51,9 @@
         w.missed_polls = 0;
         w.confirmed = true;
         w.victims.clear();
-        if !self.settled_workers.contains(&self.worker(idx).info.id) {
+        // Ends that are not listed yet may be of tasks that would be started again.
+        let lists_all_ends = report.ended.len() < MAX_LISTED_ENDS;
+        if lists_all_ends && !self.settled_workers.contains(&self.worker(idx).info.id) {
             self.settled_workers.insert(self.worker(idx).info.id.clone());
         }
         for end in &report.ended {
@@ -60,7 +62,7 @@
         for r in &report.running {
             self.handle_running(idx, r, now, out);
         }
-        if report.ended.len() < MAX_LISTED_ENDS {
+        if lists_all_ends {
             self.handle_unlisted(idx, sent, report, out);
         }
         self.acknowledge_worker(idx);
@@ -214,16 +216,13 @@
             .get(&r.job)
             .and_then(|j| self.queues.get(&j.job.queue))
             .map_or(u32::MAX, |q| q.max_attempts.max(1));
+        let version = self.mark_dirty(r.job);
         let mut failures = 0;
         if let Some(step) = self.step_mut(r) {
-            let t = &mut step.tasks[if gang { 0 } else { task.index as usize }];
-            // Several members of one run of a gang may fail, which counts as one failure of the gang. An earlier owner
-            // may have counted a failure that it did not acknowledge.
-            if t.last_failed_run < run {
-                t.last_failed_run = run;
-                t.failure_count = t.failure_count.saturating_add(1);
-            }
-            failures = t.failure_count;
+            let count = &mut step.tasks[if gang { 0 } else { task.index as usize }].failures;
+            count.record(run);
+            count.required_version = version;
+            failures = count.times();
         }
         self.counts.failed += 1;
         self.events.push(Event::TaskFailed {
@@ -233,7 +232,6 @@
             times: failures,
             attempts_allowed,
         });
-        let version = self.mark_dirty(r.job);
         if failures >= attempts_allowed {
             self.end_job(r.job, State::Failed, out);
         }
--- a/crates/catkin-cell/src/step/mod.rs
+++ b/crates/catkin-cell/src/step/mod.rs
@@ -1,12 +1,13 @@
 //! The state of a job and its steps at their owner.
 
+mod failures;
+
 use crate::job::{Job, State};
-use crate::progress::{
-    self, CrashCount, Crashes, Failures, MAX_PROGRESS_BYTES, Progress, StepProgress,
-};
+use crate::progress::{self, CrashCount, Crashes, MAX_PROGRESS_BYTES, Progress, StepProgress};
 use crate::task::StepRef;
 use crate::worker::{WorkerIndex, WorkerSet};
 use catkin_types::WorkerId;
+use failures::FailureCount;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -23,9 +24,8 @@
     pub assigned_to: Option<WorkerIndex>,
     /// The highest run that was ordered.
     pub run: u32,
-    pub failure_count: u32,
-    /// The newest run whose failure was counted.
-    pub last_failed_run: u32,
+    /// The failures of the task; of the gang, at its first task.
+    pub failures: FailureCount,
     pub done: bool,
     /// The workers that crashed under the task.
     pub crashes: CrashCount,
@@ -90,8 +90,7 @@
         }
         for f in &stored.failed {
             if let Some(t) = tasks.get_mut(f.index as usize) {
-                t.failure_count = f.times;
-                t.last_failed_run = f.run;
+                t.failures = FailureCount::new(*f);
             }
         }
         for c in &stored.crashed {
@@ -128,7 +127,7 @@
         StepProgress {
             complete: false,
             done,
-            failed: indexed().filter(|(_, t)| t.failure_count > 0).map(failures).collect(),
+            failed: indexed().filter_map(|(i, t)| t.failures.to_progress(i)).collect(),
             crashed: indexed()
                 .filter(|(_, t)| t.crashes.total() > 0 && !t.done)
                 .map(crashes)
@@ -147,10 +146,6 @@
     }
 }
 
-fn failures((index, t): (u32, &TaskState)) -> Failures {
-    Failures { index, times: t.failure_count, run: t.last_failed_run }
-}
-
 fn crashes((index, t): (u32, &TaskState)) -> Crashes {
     Crashes { index, count: t.crashes }
 }
--- a/crates/catkin-cell/tests/cell/fixture.rs
+++ b/crates/catkin-cell/tests/cell/fixture.rs
@@ -43,6 +43,13 @@
 impl Fixture {
     /// Returns a cell with `workers` workers, all of which have answered.
     pub fn new(workers: usize) -> Self {
+        let mut f = Self::unheard(workers);
+        (0..workers).for_each(|n| f.report(n, FIRST_INCARNATION, &[]));
+        f
+    }
+
+    /// Returns a cell with `workers` workers, none of which has answered.
+    pub fn unheard(workers: usize) -> Self {
         let mut cell = Cell::new(Options::default(), 1, Duration::from_secs(1));
         let queue = |priority| Queue {
             service: "s".into(),
@@ -56,7 +63,6 @@
         let mut f = Self { cell, now: Duration::from_secs(1), out: Vec::new() };
         let list = (0..workers).map(|n| entry(n, FIRST_INCARNATION)).collect();
         f.cell.update_workers(list, false, f.now);
-        (0..workers).for_each(|n| f.report(n, FIRST_INCARNATION, &[]));
         f
     }
 
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod any_values;
+mod attempts;
 mod capacity;
 mod crashes;
 mod extremes;
