Cell: a task that has passed its trial is not blamed for the next one of its step

Cause: a worker is kept for a trial of a step, and a crash of it was blamed on every task of that step there. A task that had passed its trial ran on; another task of the step was about to be tried on the same worker; a task of a third job that had been started between the two crashed it. Now only the task that is tried is blamed; members of a gang are tried together.

--- a/crates/catkin-cell/src/cell/crashes.rs
+++ b/crates/catkin-cell/src/cell/crashes.rs
@@ -75,7 +75,7 @@
                 Receipt::Doubtful
             };
             let is_fresh = ran_for < self.suspicion_period(task.step);
-            let on_trial = w.trial == Some(task.step);
+            let on_trial = w.trial == Some(task.step) && self.is_tried(*task);
             Some(Victim { task: *task, run: a.run, receipt, is_fresh, on_trial })
         };
         let victims: Vec<Victim> = w.assignments.iter().filter_map(victim).collect();
@@ -90,6 +90,12 @@
         self.worker_mut(idx).victims.extend(victims);
     }
 
+    /// Returns whether a task of a step that is tried has not passed its trial: another task of the step may be tried on a
+    /// worker where it runs on, beside tasks that were started since.
+    fn is_tried(&self, task: Task) -> bool {
+        self.is_gang(task.step) || self.task(task).is_some_and(|t| t.suspect)
+    }
+
     /// Returns whether no other task that was lost had just started. Members of a gang count as one.
     fn is_only_fresh(&self, victim: &Victim, victims: &[Victim]) -> bool {
         let gang = self.is_gang(victim.task.step);
--- a/crates/catkin-cell/tests/cell/crashes.rs
+++ b/crates/catkin-cell/tests/cell/crashes.rs
@@ -146,7 +146,7 @@
 
 #[test]
 fn innocent_jobs_given_up_while_owners_crash_and_answers_are_lost() {
-    for seed in 1..=30 {
+    for seed in 1..=50 {
         run_mix(seed, Faults { owner_crash: 100, answer_lost: 30, ..Faults::default() });
     }
 }
