Cell: a job keeps the attempts and the advice of its queue

Cause: Cell::configure keeps the settings of queues that are gone for the term only; without settings handle_failure allowed any number of failures, and no advice was asked for. Now the job's row holds the policy of its queue at acceptance (some 40 bytes, 90 with advice), which is used where the queue isn't configured. A row of an earlier version has none: then a job ends with its first failure. The configured policy still goes first, so that changes of max_attempts hold for jobs that run.

unconfigured::a_job_of_a_queue_that_is_gone_keeps_its_number_of_attempts and _is_still_advised fail without it.

--- a/crates/catkin-cell/src/cell/jobs.rs
+++ b/crates/catkin-cell/src/cell/jobs.rs
@@ -26,6 +26,10 @@
             return;
         }
         let StoredJob { job, progress } = stored;
+        if !self.queues.contains_key(&job.queue) {
+            let queue = Queue::unconfigured(&job.service, job.policy);
+            self.queues.insert(job.queue.clone(), queue);
+        }
         let accepted_at = now.saturating_sub(age);
         let steps = load_steps(&job, progress);
         let has_started = steps.iter().any(|s| s.has_started);
--- a/crates/catkin-cell/src/job/mod.rs
+++ b/crates/catkin-cell/src/job/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs as they are accepted and stored.
 
 use crate::progress::{self, MAX_PROGRESS_BYTES};
+use crate::queue::Policy;
 use catkin_types::Resources;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -22,6 +23,9 @@
     /// Set by a caller's cancellation.
     #[serde(skip_serializing_if = "is_default")]
     pub cancelled: bool,
+    /// The settings of the queue when the job was accepted; absent if an earlier version accepted it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Policy>,
     /// When the job runs; absent if it runs once, at once.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub schedule: Option<Schedule>,
--- a/crates/catkin-cell/src/queue/mod.rs
+++ b/crates/catkin-cell/src/queue/mod.rs
@@ -1,5 +1,9 @@
 //! The configuration of queues.
 
+mod policy;
+
+pub use policy::{AdvicePolicy, Policy};
+
 use std::time::Duration;
 
 /// The configuration of one queue.
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -19,5 +19,6 @@
 mod refused;
 mod restarts;
 mod takeover;
+mod unconfigured;
 mod worker;
 mod world;
--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -8,6 +8,7 @@
 use crate::cx::Cx;
 use crate::table;
 use bytes::Bytes;
+use catkin_cell::queue::Policy;
 use catkin_http::body::{self, Body};
 use catkin_platform::client_api;
 use catkin_platform::config::Config;
@@ -91,6 +92,7 @@
         Ok(mut job) => {
             job.queue.clone_from(&found.route.queue);
             job.service.clone_from(&found.route.policy.service);
+            job.policy = Some(Policy::of(&found.route.policy));
             job.accepted_ms = cx.table.clock_ms();
             if !table::fits_row(&job) {
                 return body::text(413, "the job is larger than the table service allows\n");
