Cell: facts of a worker's former life decide nothing after it has restarted

Cause: a poll acknowledged ends by the numbers of the incarnation known last, though a start sent since may have reached the next one, which numbers its ends anew; and a report made a worker usable with the labels, service and capacity of its former life's entry. Now a worker is usable once entry and report are of one incarnation, and a poll acknowledges nothing while a start was sent after the last answered poll, or a poll got no answer.

--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -50,6 +50,7 @@
         w.clock_reading = Some((report.clock_ms, now));
         w.missed_polls = 0;
         w.confirmed = true;
+        w.answered_poll_sent_at = w.answered_poll_sent_at.max(Some(sent));
         w.forgotten = false;
         w.victims.clear();
         // Ends that are not listed yet may be of tasks that would be started again.
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -139,7 +139,7 @@
             id: w.info.id.clone(),
             addr: w.info.addr.clone(),
             lease_to_ms,
-            acknowledged: w.acknowledged,
+            acknowledged: w.acknowledgement(),
         }
     }
 
@@ -149,6 +149,7 @@
         let listed =
             w.missing_since.is_none_or(|at| now.saturating_sub(at) < self.opt.missing_grace);
         w.confirmed
+            && w.is_entry_current()
             && listed
             && !w.info.draining
             && w.missed_polls == 0
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -256,6 +256,10 @@
     /// The step whose tasks are tried here: no others are started meanwhile.
     pub trial: Option<StepRef>,
     pub acknowledged: u64,
+    /// When an order to start was last sent.
+    pub start_sent_at: Option<Duration>,
+    /// When the newest poll was sent that the worker answered in its current incarnation.
+    pub answered_poll_sent_at: Option<Duration>,
     pub newest_end: u64,
     pub unacknowledged: VecDeque<UnacknowledgedEnd>,
     /// The number of polls in a row without an answer.
@@ -303,6 +307,20 @@
         Some(clock.saturating_add(millis(now.saturating_sub(read_at))))
     }
 
+    /// Returns the highest end number that a poll may acknowledge. A worker that has restarted unnoticed may have carried
+    /// out a start since and numbers its ends anew: nothing is acknowledged before a poll was answered that was sent after
+    /// the last start.
+    pub(crate) fn acknowledgement(&self) -> u64 {
+        let is_current = self.answered_poll_sent_at > self.start_sent_at;
+        if is_current && self.missed_polls == 0 { self.acknowledged } else { 0 }
+    }
+
+    /// Returns whether the worker's entry in the list is one of its current incarnation, as far as both are known.
+    pub(crate) fn is_entry_current(&self) -> bool {
+        let (listed, known) = (self.listed_incarnation, self.info.incarnation);
+        listed == 0 || known == 0 || listed == known
+    }
+
     pub(crate) fn assign(&mut self, task: Task, assignment: Assignment) {
         self.host.declared = self.host.declared.saturating_add(&assignment.demand);
         if let Some(old) = self.assignments.insert(task, assignment) {
@@ -372,6 +390,7 @@
         }
         self.lease_to_ms = 0;
         self.acknowledged = 0;
+        self.answered_poll_sent_at = None;
         self.newest_end = 0;
         self.unacknowledged.clear();
         let is_lost = |(_, h): &(&Task, &mut Assignment)| h.reported || h.phase == Phase::Reserved;
--- a/crates/catkin-cell/tests/cell/incarnation.rs
+++ b/crates/catkin-cell/tests/cell/incarnation.rs
@@ -1,7 +1,11 @@
-//! Workers that state an earlier start than the one that is known of them.
+//! Facts about a worker belong to one incarnation: those of a former one decide nothing, also where a later one states an
+//! earlier start.
 
 use crate::extremes::START;
-use catkin_cell::worker::{EndReason, TaskEnd, WorkerInfo, WorkerReport};
+use crate::fixture::{FIRST_INCARNATION, Fixture, entry, first_task};
+use crate::owner::step;
+use catkin_cell::job::Step;
+use catkin_cell::worker::{EndReason, Reply, TaskEnd, WorkerInfo, WorkerReport};
 use catkin_cell::{Cell, Options, StepRef};
 use catkin_types::{Incarnation, Resources};
 use std::time::Duration;
@@ -67,3 +71,80 @@
     assert!(!is_heeded(&mut cell, 1, START + SECOND * 2, START + SECOND * 3));
     assert!(is_heeded(&mut cell, 2, START + SECOND * 4, START + SECOND * 4));
 }
+
+/// A cell whose only worker has restarted and has answered since. Its entry is still that of the former incarnation.
+fn restarted(former: WorkerInfo) -> Fixture {
+    let mut f = Fixture::new(1);
+    f.cell.update_workers(vec![former], false, f.now);
+    f.tick();
+    f.report(0, FIRST_INCARNATION + 1, &[]);
+    f
+}
+
+/// Tasks were started on workers that had the label in a former life (ROUTE).
+#[test]
+fn a_worker_back_as_another_kind_gets_no_task_by_the_labels_of_its_former_life() {
+    let mut f = restarted(WorkerInfo { labels: vec!["a".into()], ..entry(0, FIRST_INCARNATION) });
+    f.accept(1, "batch", vec![Step { label: Some("a".into()), ..step(1, 100, 1_000) }]);
+    f.run(SECOND);
+    assert_eq!(f.take_starts(), []);
+    f.cell.update_workers(vec![entry(0, FIRST_INCARNATION + 1)], false, f.now);
+    f.run(SECOND);
+    assert_eq!(f.take_starts(), [], "it is of another kind");
+    f.accept(2, "batch", vec![step(1, 100, 1_000)]);
+    f.tick();
+    assert_eq!(f.take_starts().len(), 1);
+}
+
+/// The capacity of the former life was used in the same way (LIMIT).
+#[test]
+fn a_worker_back_with_less_capacity_gets_no_more_than_it_has() {
+    let mut f = restarted(entry(0, FIRST_INCARNATION));
+    f.accept(1, "batch", vec![step(1, 3_000, 1_000)]);
+    f.run(SECOND);
+    let smaller = Resources::new(2_000, 4_000, 0);
+    let listed = WorkerInfo { capacity: smaller, ..entry(0, FIRST_INCARNATION + 1) };
+    f.cell.update_workers(vec![listed], false, f.now);
+    f.run(SECOND);
+    assert_eq!(f.take_starts(), []);
+}
+
+/// An end was forgotten unread, by the numbers of the worker's former life, and its task started again (TWICE).
+#[test]
+fn nothing_is_acknowledged_after_a_start_before_the_worker_was_read_again() {
+    let mut f = Fixture::new(1);
+    f.accept(1, "batch", vec![step(1, 100, 1_000)]);
+    f.tick();
+    let starts = f.take_starts();
+    f.tick();
+    f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
+    f.tick();
+    let idx = f.worker(0);
+    assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 1);
+    // The worker restarts unnoticed, takes the next start, and ends it.
+    f.accept(2, "batch", vec![step(1, 100, 1_000)]);
+    f.tick();
+    let starts = f.take_starts();
+    f.reply(&starts, Reply::Done);
+    f.tick();
+    assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 0);
+    f.report_ends(0, FIRST_INCARNATION + 1, &[], &[(first_task(2), 1)]);
+    f.run(SECOND);
+    assert_eq!(f.take_starts(), []);
+    assert_eq!(f.cell.state(2), Some(catkin_cell::State::Completed));
+}
+
+/// A poll without an answer is the first sign of a worker that has restarted.
+#[test]
+fn nothing_is_acknowledged_while_a_worker_does_not_answer() {
+    let mut f = Fixture::new(1);
+    f.accept(1, "batch", vec![step(1, 100, 1_000)]);
+    f.tick();
+    let starts = f.take_starts();
+    f.tick();
+    f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
+    f.tick();
+    let idx = f.worker(0);
+    f.cell.handle_missed_poll(idx);
+    assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 0);
+}
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -101,6 +101,7 @@
     f.report(0, FIRST_INCARNATION, &[(starts[0].task, starts[0].run)]);
     // The worker restarts, and its wall clock shows an earlier time than at its first start.
     f.tick();
+    f.cell.update_workers(vec![entry(0, FIRST_INCARNATION - 1)], false, f.now);
     let s = next_start(&mut f, |f| f.report(0, FIRST_INCARNATION - 1, &[]));
     assert_eq!(s.task, first_task(1));
 }
@@ -115,11 +116,16 @@
     f.reply(&starts, Reply::Done);
     f.report(0, FIRST_INCARNATION, &[(starts[0].task, starts[0].run)]);
     f.tick();
+    f.report(0, FIRST_INCARNATION - 1, &[]);
+    // The entry in the list still names the earlier incarnation.
+    f.cell.update_workers(vec![entry(0, FIRST_INCARNATION)], false, f.now);
+    f.run(Duration::from_secs(1));
+    assert!(f.take_starts().is_empty(), "the kind of the new incarnation is not known");
+    f.cell.update_workers(vec![entry(0, FIRST_INCARNATION - 1)], false, f.now);
     let s = next_start(&mut f, |f| f.report(0, FIRST_INCARNATION - 1, &[]));
     f.reply(std::slice::from_ref(&s), Reply::Done);
     f.report(0, FIRST_INCARNATION - 1, &[(s.task, s.run)]);
-    // The entry in the list and an answer to an old poll still name the earlier incarnation.
-    f.cell.update_workers(vec![entry(0, FIRST_INCARNATION)], false, f.now);
+    // An answer to an old poll names it too.
     let late = WorkerReport { incarnation: FIRST_INCARNATION, ..WorkerReport::default() };
     let idx = f.worker(0);
     f.cell.handle_report(idx, sent, &late, f.now, &mut f.out);
@@ -134,6 +140,7 @@
     f.accept(1, "batch", vec![step(1, 1_000, 1_000)]);
     f.tick();
     let starts = f.take_starts();
+    f.tick();
     f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
     f.tick();
     let idx = f.worker(0);
