Lead: a renewal that comes too late does not revive a term

Now the term is over for good; a cell whose row was renewed after all is released, so that another daemon takes over at once. Found by reading, and shown on the pure term only: a_renewal_that_comes_too_late_does_not_revive_the_term fails with the renewal recorded as before.

--- a/crates/catkin-node/src/leadership/mod.rs
+++ b/crates/catkin-node/src/leadership/mod.rs
@@ -342,8 +342,9 @@
             Renewed::NotConfirmed => failed = true,
         }
         if !may_act(cx) {
-            tracing::warn!(epoch, "lead: giving up the cell, the table service does not answer");
-            return Next::Owner(current.clone());
+            tracing::warn!(epoch, "lead: giving up the cell, the table service did not answer");
+            // A cell whose row was renewed after all is released, so that no daemon waits for it.
+            return if failed { Next::Owner(current.clone()) } else { Next::Release };
         }
     }
 }
--- a/crates/catkin-node/src/leadership/renewal.rs
+++ b/crates/catkin-node/src/leadership/renewal.rs
@@ -42,9 +42,10 @@
 
 /// Records a renewal that took effect and was sent at `sent`.
 fn record_renewal(cx: &Cx, sent: Duration) {
+    let now = cx.now();
     cx.term.send_if_modified(|term| {
         if let Some(term) = term {
-            term.renewed_at = sent;
+            term.record_renewal(sent, now);
         }
         false
     });
--- a/crates/catkin-node/src/leadership/term.rs
+++ b/crates/catkin-node/src/leadership/term.rs
@@ -23,13 +23,22 @@
     pub fast_failures: u32,
     /// Until when owners of earlier terms may act.
     pub earlier: EarlierOwners,
+    /// Whether the owner could not act for a while, and has dropped what it was told meanwhile.
+    pub is_over: bool,
 }
 
 impl Term {
     /// Returns a term whose claim was sent at `claimed_at` and confirmed at `now`.
     #[must_use]
     pub fn new(epoch: Epoch, claimed_at: Duration, now: Duration, earlier: EarlierOwners) -> Self {
-        Self { epoch, confirmed_at: now, renewed_at: claimed_at, fast_failures: 0, earlier }
+        Self {
+            epoch,
+            confirmed_at: now,
+            renewed_at: claimed_at,
+            fast_failures: 0,
+            earlier,
+            is_over: false,
+        }
     }
 
     /// Records that the table service confirmed a write of this term.
@@ -37,9 +46,16 @@
         (self.confirmed_at, self.fast_failures) = (now, 0);
     }
 
+    /// Records a renewal that took effect and was sent at `sent`. It does not revive a term whose owner could not act any
+    /// more when the answer came at `now`.
+    pub fn record_renewal(&mut self, sent: Duration, now: Duration) {
+        self.is_over |= !self.may_act(now);
+        self.renewed_at = sent;
+    }
+
     /// Whether the owner may still send orders to workers.
     #[must_use]
     pub fn may_act(&self, now: Duration) -> bool {
-        now.saturating_sub(self.renewed_at) <= AUTONOMY_LIMIT
+        !self.is_over && now.saturating_sub(self.renewed_at) <= AUTONOMY_LIMIT
     }
 }
