--- a/crates/catkin-node/src/gate/jobs.rs
+++ b/crates/catkin-node/src/gate/jobs.rs
@@ -1,9 +1,10 @@
 //! Requests on jobs: submitting, state, cancelling, and the length of a queue.
 
-use super::refused;
-use super::store::{self, WriteOutcome};
+use super::cancel::{self, read_job};
+use super::outcome::WriteOutcome;
+use super::owner_call::{call_owner, notify_owner};
+use super::{accept, refused};
 use crate::cx::Cx;
-use crate::peers;
 use crate::table::record::JobRecord;
 use catkin_cell::{Job, State};
 use catkin_http::body::{self, Body};
@@ -16,12 +17,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The delay before a call whose answer was lost is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// The timeout of a call to the owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
-/// The timeout of a notification to the owner. If it fails, the owner finds the change in the table.
-const NOTIFY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Stores a job and responds whether it is accepted.
 pub(super) async fn accept(
@@ -30,7 +27,7 @@
     job: Job,
     deadline: Duration,
 ) -> Response<Body> {
-    let outcome = store::accept(cx, id, &job, deadline).await;
+    let outcome = accept::accept(cx, id, &job, deadline).await;
     tracing::info!(job = format_job(id), queue = job.queue, "gate: job stored: {outcome:?}");
     match outcome {
         WriteOutcome::Durable => body::text(200, "accepted\n"),
@@ -45,35 +42,6 @@
     }
 }
 
-/// Notifies the owner of the cell of a change, without waiting. The owner finds the change in the table if this fails.
-pub(super) fn notify_owner(cx: &Arc<Cx>, req: Request) {
-    let task_cx = Arc::clone(cx);
-    cx.spawn(async move {
-        drop(call_owner(&task_cx, req, NOTIFY_TIMEOUT).await);
-    });
-}
-
-/// Calls the owner of the cell.
-///
-/// # Errors
-/// The owner is not known or did not answer in time.
-pub(super) async fn call_owner(
-    cx: &Arc<Cx>,
-    req: Request,
-    max_wait: Duration,
-) -> Result<Answer, catkin_peer::Error> {
-    if cx.owner.borrow().is_some() {
-        let answer = tokio::time::timeout(max_wait, peers::handle_call(cx, req)).await;
-        return answer.map_err(|_| catkin_peer::Error::Lost("the owner is busy".into()));
-    }
-    let leader = cx.leader.borrow().clone();
-    let Some(leader) = leader else {
-        return Err(catkin_peer::Error::NotSent("the owner is not known".into()));
-    };
-    let answer = cx.calls.call(leader.addr, req, max_wait).await;
-    answer.inspect_err(|e| tracing::debug!("gate: call to the owner failed: {e}"))
-}
-
 /// Responds with the state of a job, from the owner or, if it does not answer, from the table.
 pub(super) async fn job_state(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Response<Body> {
     let answer = call_owner(cx, Request::JobStatus(id), OWNER_TIMEOUT).await;
@@ -108,29 +76,9 @@
     res
 }
 
-/// Reads the state of a job from the table, with retries. Returns `None` if that fails until the deadline.
-pub(super) async fn read_job(cx: &Cx, id: JobId, deadline: Duration) -> Option<JobRecord> {
-    loop {
-        let left = deadline.saturating_sub(cx.now());
-        if left.is_zero() {
-            return None;
-        }
-        match JobRecord::read(&cx.table, id, left).await {
-            Ok(record) => return Some(record),
-            Err(e) => {
-                tracing::debug!(
-                    job = format_job(id),
-                    "gate: reading the job failed, will retry: {e}"
-                );
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 /// Cancels a job and responds once the cancellation is durable.
 pub(super) async fn cancel(cx: &Arc<Cx>, id: JobId, deadline: Duration) -> Response<Body> {
-    let outcome = store::cancel(cx, id, deadline).await;
+    let outcome = cancel::cancel(cx, id, deadline).await;
     tracing::info!(job = format_job(id), "gate: job cancelled: {outcome:?}");
     match outcome {
         WriteOutcome::Durable => {
--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -1,9 +1,12 @@
 //! The HTTP interface for clients, readiness checks and metrics.
 
+mod accept;
+pub mod cancel;
 mod jobs;
+pub mod outcome;
+mod owner_call;
 pub mod refusal;
 mod route;
-pub mod store;
 
 use crate::cx::Cx;
 use crate::table;
--- a/crates/catkin-node/src/owner/commits/batch.rs
+++ b/crates/catkin-node/src/owner/commits/batch.rs
@@ -2,7 +2,7 @@
 
 use super::{CommittedBatch, Submission};
 use crate::cx::Cx;
-use crate::gate::store::WriteOutcome;
+use crate::gate::outcome::WriteOutcome;
 use crate::owner::Message;
 use crate::table::latency::Latency;
 use crate::table::{self, ENDED, Head, JOBS, PROGRESS};
--- a/crates/catkin-node/src/owner/commits/mod.rs
+++ b/crates/catkin-node/src/owner/commits/mod.rs
@@ -3,7 +3,7 @@
 mod batch;
 
 use super::{Message, OwnerState};
-use crate::gate::store::WriteOutcome;
+use crate::gate::outcome::WriteOutcome;
 use crate::table::latency::Latency;
 use crate::table::{Head, PART_COUNT, part_of};
 use batch::{Batch, Content};
--- a/crates/catkin-node/src/owner/message.rs
+++ b/crates/catkin-node/src/owner/message.rs
@@ -1,7 +1,7 @@
 //! The messages that the owner actor handles.
 
 use super::commits::{CommittedBatch, Submission};
-use crate::gate::store::WriteOutcome;
+use crate::gate::outcome::WriteOutcome;
 use crate::table::jobs::JobRow;
 use catkin_cell::cell::AdviceAnswer;
 use catkin_cell::worker::{Reply, WorkerIndex, WorkerInfo, WorkerReport};
--- a/crates/catkin-node/src/owner/mod.rs
+++ b/crates/catkin-node/src/owner/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::advice::Dispatcher;
 use crate::cx::{Cx, spawn_until};
-use crate::gate::store::WriteOutcome;
+use crate::gate::outcome::WriteOutcome;
 use crate::leadership::load;
 use crate::table::jobs::{JobRow, UnreadableJob};
 use catkin_cell::action::StoredJob;
--- a/crates/catkin-node/src/peers.rs
+++ b/crates/catkin-node/src/peers.rs
@@ -2,7 +2,8 @@
 
 use crate::advice;
 use crate::cx::Cx;
-use crate::gate::store::{self, WriteOutcome};
+use crate::gate::cancel;
+use crate::gate::outcome::WriteOutcome;
 use crate::leadership;
 use crate::owner::Message;
 use catkin_cell::{Job, StepRef};
@@ -51,7 +52,7 @@
         }
         Request::Store { job, body } => store_for_peer(cx, job, &body).await,
         Request::StoreCancellation(id) => {
-            let durable = store::cancel_directly(cx, id, cx.now() + WITHDRAW_TIMEOUT).await;
+            let durable = cancel::cancel_directly(cx, id, cx.now() + WITHDRAW_TIMEOUT).await;
             if let (WriteOutcome::Durable, Some(owner)) = (durable, cx.owner.borrow().clone()) {
                 owner.notify(Message::Cancel(id));
             }
--- a/crates/catkin-node/tests/node/jobs.rs
+++ b/crates/catkin-node/tests/node/jobs.rs
@@ -2,7 +2,7 @@
 
 use catkin_cell::job::Step;
 use catkin_cell::{Job, State};
-use catkin_node::gate::store::{WriteOutcome, outcome_of_conflict};
+use catkin_node::gate::outcome::{WriteOutcome, outcome_of_conflict};
 use catkin_node::table::{End, accepted_since, to_json};
 use catkin_platform::store::Row;
 
--- a/crates/catkin-node/tests/node/withdrawal.rs
+++ b/crates/catkin-node/tests/node/withdrawal.rs
@@ -2,7 +2,7 @@
 //! end, and the table service carries calls out late.
 
 use catkin_cell::{Job, State};
-use catkin_node::gate::store::{WriteOutcome, outcome_of_conflict};
+use catkin_node::gate::outcome::{WriteOutcome, outcome_of_conflict};
 use catkin_node::table::record::{Cancellation, JobRecord};
 use catkin_node::table::{
     ENDED, End, Head, JOBS, accept_changes, batch_changes, decode, head_key, job_key, part_of,
