--- a/crates/catkin-cell/src/cell/launch.rs
+++ b/crates/catkin-cell/src/cell/launch.rs
@@ -155,7 +155,7 @@
         let checkpoint = if gang { shared_checkpoint } else { t.checkpoint.clone() };
         let w = self.worker_mut(idx);
         let start_by_ms = w.estimated_clock_ms(now).unwrap_or(0).saturating_add(window);
-        w.lease_to_ms = w.lease_to_ms.max(start_by_ms);
+        w.current.lease_to_ms = w.current.lease_to_ms.max(start_by_ms);
         w.start_sent_at = Some(now);
         let incarnation = w.info.incarnation;
         let Some(assignment) = w.assignments.get_mut(&task) else { return };
--- a/crates/catkin-cell/src/cell/polls.rs
+++ b/crates/catkin-cell/src/cell/polls.rs
@@ -44,13 +44,13 @@
         }
         let w = self.worker_mut(idx);
         // Answers that arrive over different connections may be out of order: ignores the older one.
-        if w.clock_reading.is_some_and(|(clock, _)| clock > report.clock_ms) {
+        if w.current.clock_reading.is_some_and(|(clock, _)| clock > report.clock_ms) {
             return;
         }
-        w.clock_reading = Some((report.clock_ms, now));
+        w.current.clock_reading = Some((report.clock_ms, now));
         w.missed_polls = 0;
-        w.confirmed = true;
-        w.answered_poll_sent_at = w.answered_poll_sent_at.max(Some(sent));
+        w.current.confirmed = true;
+        w.current.answered_poll_sent_at = w.current.answered_poll_sent_at.max(Some(sent));
         w.forgotten = false;
         w.victims.clear();
         // Ends that are not listed yet may be of tasks that would be started again.
@@ -78,17 +78,17 @@
         out: &mut Vec<Action>,
     ) {
         let w = self.worker_mut(idx);
-        if end.number <= w.newest_end {
+        if end.number <= w.current.newest_end {
             return;
         }
-        w.newest_end = end.number;
+        w.current.newest_end = end.number;
         let was_assigned = w.assignments.get(&end.task).is_some_and(|h| h.run == end.run);
         if was_assigned {
             w.release(&end.task);
         }
         let required_version = self.apply_end(idx, end, was_assigned, now, out);
         let end = UnacknowledgedEnd { number: end.number, required_version };
-        self.worker_mut(idx).unacknowledged.push_back(end);
+        self.worker_mut(idx).current.unacknowledged.push_back(end);
     }
 
     /// Applies an end to its job. Returns the version of the job that has to be durable before the end may be
@@ -309,7 +309,7 @@
             demand: demand.unwrap_or(w.host.capacity),
             phase: if wanted || held { Phase::Running } else { Phase::Stopping },
             since: now,
-            start_by_ms: w.clock_reading.map_or(0, |(clock, _)| clock),
+            start_by_ms: w.current.clock_reading.map_or(0, |(clock, _)| clock),
             reported: true,
             has_run: true,
             // It has survived its start.
--- a/crates/catkin-cell/src/cell/save.rs
+++ b/crates/catkin-cell/src/cell/save.rs
@@ -136,11 +136,11 @@
 fn acknowledge(w: &mut Worker, jobs: &HashMap<JobId, JobState>) {
     let durable =
         |(id, version): (JobId, u64)| jobs.get(&id).is_none_or(|j| j.durable_version >= version);
-    while let Some(end) = w.unacknowledged.front() {
+    while let Some(end) = w.current.unacknowledged.front() {
         if !end.required_version.is_none_or(durable) {
             break;
         }
-        w.acknowledged = end.number;
-        w.unacknowledged.pop_front();
+        w.current.acknowledged = end.number;
+        w.current.unacknowledged.pop_front();
     }
 }
--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -97,7 +97,7 @@
     /// same ends.
     #[must_use]
     pub fn has_unacknowledged_ends(&self, idx: WorkerIndex) -> bool {
-        !self.worker(idx).unacknowledged.is_empty()
+        !self.worker(idx).current.unacknowledged.is_empty()
     }
 
     /// Returns whether a poll may wait at the worker until a task ends. The first poll of a term or of an incarnation may
@@ -105,7 +105,7 @@
     #[must_use]
     pub fn may_wait_at_worker(&self, idx: WorkerIndex) -> bool {
         let w = self.worker(idx);
-        w.confirmed && w.missed_polls == 0 && w.unacknowledged.is_empty()
+        w.current.confirmed && w.missed_polls == 0 && w.current.unacknowledged.is_empty()
     }
 
     /// Returns whether the worker no longer has to be polled: it has been missing from the list for long, or another one
@@ -134,7 +134,7 @@
         // Requests no further lease from a worker that does not answer, so that its last lease runs out.
         let clock = w.estimated_clock_ms(now).filter(|_| w.missed_polls == 0);
         let lease_to_ms = clock.map(|clock| clock.saturating_add(lease));
-        w.lease_to_ms = w.lease_to_ms.max(lease_to_ms.unwrap_or(0));
+        w.current.lease_to_ms = w.current.lease_to_ms.max(lease_to_ms.unwrap_or(0));
         PollParams {
             id: w.info.id.clone(),
             addr: w.info.addr.clone(),
@@ -148,7 +148,7 @@
         let w = self.worker(idx);
         let listed =
             w.missing_since.is_none_or(|at| now.saturating_sub(at) < self.opt.missing_grace);
-        w.confirmed
+        w.current.confirmed
             && w.is_entry_current()
             && listed
             && !w.info.draining
@@ -166,7 +166,7 @@
         now: Duration,
     ) {
         // A worker that has not been heard since its last restart has had no starts since then.
-        let was_heard = self.worker(idx).clock_reading.is_some();
+        let was_heard = self.worker(idx).current.clock_reading.is_some();
         if was_heard && !self.worker(idx).info.draining {
             self.record_crash(idx);
         }
@@ -258,18 +258,18 @@
                 let since = w.restarted_at.map(|at| now.saturating_sub(at));
                 return since.is_some_and(|d| d > self.max_stray_period());
             };
-            let lease_to = w.lease_to_ms.max(millis(stray_period));
+            let lease_to = w.current.lease_to_ms.max(millis(stray_period));
             clock > lease_to.saturating_add(LEASE_MARGIN_MS)
         };
         let unresponsive =
-            |w: &Worker| w.missed_polls > 0 && (w.confirmed || !w.assignments.is_empty());
+            |w: &Worker| w.missed_polls > 0 && (w.current.confirmed || !w.assignments.is_empty());
         let expired_workers: Vec<WorkerIndex> = self
             .worker_indices()
             .filter(|idx| unresponsive(self.worker(*idx)) && expired(self.worker(*idx)))
             .collect();
         for idx in expired_workers {
             self.suspect_tasks(idx);
-            self.worker_mut(idx).confirmed = false;
+            self.worker_mut(idx).current.confirmed = false;
             self.mark_all_lost(idx);
         }
     }
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -222,6 +222,26 @@
     }
 }
 
+/// What one incarnation of a worker has said to this owner, and what was requested from it. It ends with the incarnation:
+/// the next one has another clock, other leases, and numbers its ends anew.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct IncarnationState {
+    /// Whether the worker has answered a poll, and its tasks are known.
+    pub confirmed: bool,
+    /// The worker's clock, and the owner's time at which it was read.
+    pub clock_reading: Option<(u64, Duration)>,
+    /// The latest end of a lease that was requested, on the worker's clock.
+    pub lease_to_ms: u64,
+    /// When the newest poll was sent that the worker has answered.
+    pub answered_poll_sent_at: Option<Duration>,
+    /// The newest end that was read.
+    pub newest_end: u64,
+    /// The newest end that is durable, with all before it.
+    pub acknowledged: u64,
+    /// The ends after it that were read.
+    pub unacknowledged: VecDeque<UnacknowledgedEnd>,
+}
+
 /// The owner's knowledge of a worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Worker {
@@ -239,12 +259,8 @@
     pub missing_since: Option<Duration>,
     /// Whether the worker was removed from the records of steps, as it is gone.
     pub forgotten: bool,
-    /// Whether the worker has answered a poll of this owner in its current incarnation.
-    pub confirmed: bool,
-    /// The worker's clock, and the owner's time at which it was read.
-    pub clock_reading: Option<(u64, Duration)>,
-    /// The latest end of a lease that was requested, on the worker's clock.
-    pub lease_to_ms: u64,
+    /// What its current incarnation has said.
+    pub current: IncarnationState,
     /// When the worker restarted while this owner knew it; the first time if it has restarted again without an answer.
     /// Calls meant for the earlier incarnation, with times of another clock, may have reached the current one.
     pub restarted_at: Option<Duration>,
@@ -255,13 +271,8 @@
     pub probed_at: Duration,
     /// The step whose tasks are tried here: no others are started meanwhile.
     pub trial: Option<StepRef>,
-    pub acknowledged: u64,
     /// When an order to start was last sent.
     pub start_sent_at: Option<Duration>,
-    /// When the newest poll was sent that the worker answered in its current incarnation.
-    pub answered_poll_sent_at: Option<Duration>,
-    pub newest_end: u64,
-    pub unacknowledged: VecDeque<UnacknowledgedEnd>,
     /// The number of polls in a row without an answer.
     pub missed_polls: u32,
     /// The worker declined a start and gets no new tasks until this time.
@@ -290,12 +301,12 @@
 
     /// Returns when the worker last answered in its current incarnation.
     pub(crate) fn heard_at(&self) -> Option<Duration> {
-        self.clock_reading.map(|(_, at)| at)
+        self.current.clock_reading.map(|(_, at)| at)
     }
 
     /// Returns the lowest value that the worker's clock can show at `now`.
     pub(crate) fn min_clock_ms(&self, now: Duration) -> Option<u64> {
-        let (clock, read_at) = self.clock_reading?;
+        let (clock, read_at) = self.current.clock_reading?;
         let elapsed = now.saturating_sub(read_at);
         let lag = elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000;
         Some(clock.saturating_add(millis(elapsed.saturating_sub(lag))))
@@ -303,7 +314,7 @@
 
     /// Returns the worker's clock at `now`, assuming that it runs at the same rate as the owner's.
     pub(crate) fn estimated_clock_ms(&self, now: Duration) -> Option<u64> {
-        let (clock, read_at) = self.clock_reading?;
+        let (clock, read_at) = self.current.clock_reading?;
         Some(clock.saturating_add(millis(now.saturating_sub(read_at))))
     }
 
@@ -311,8 +322,8 @@
     /// out a start since and numbers its ends anew: nothing is acknowledged before a poll was answered that was sent after
     /// the last start.
     pub(crate) fn acknowledgement(&self) -> u64 {
-        let is_current = self.answered_poll_sent_at > self.start_sent_at;
-        if is_current && self.missed_polls == 0 { self.acknowledged } else { 0 }
+        let is_current = self.current.answered_poll_sent_at > self.start_sent_at;
+        if is_current && self.missed_polls == 0 { self.current.acknowledged } else { 0 }
     }
 
     /// Returns whether the worker's entry in the list is one of its current incarnation, as far as both are known.
@@ -383,16 +394,11 @@
     ) -> Vec<Task> {
         self.info.incarnation = incarnation;
         self.incarnation_known_at = now;
-        self.confirmed = false;
+        let former = std::mem::take(&mut self.current);
         // A worker that has not answered since its last restart got no starts and no leases since then.
-        if self.clock_reading.take().is_some() || self.restarted_at.is_none() {
+        if former.clock_reading.is_some() || self.restarted_at.is_none() {
             self.restarted_at = Some(now);
         }
-        self.lease_to_ms = 0;
-        self.acknowledged = 0;
-        self.answered_poll_sent_at = None;
-        self.newest_end = 0;
-        self.unacknowledged.clear();
         let is_lost = |(_, h): &(&Task, &mut Assignment)| h.reported || h.phase == Phase::Reserved;
         let lost_tasks: Vec<Task> =
             self.assignments.iter_mut().filter(is_lost).map(|(t, _)| *t).collect();
--- a/crates/catkin-node/tests/node/withdrawal.rs
+++ b/crates/catkin-node/tests/node/withdrawal.rs
@@ -32,7 +32,7 @@
         Row { key: key.key.clone(), part: String::new(), version: self.version_of(key), value }
     }
 
-    /// Carries a call out. Returns the rows of its preconditions if one of them does not hold.
+    /// Carries a call out. Returns the rows that it expects in certain versions if one of them has another.
     fn commit(&mut self, changes: Transaction) -> Result<(), Vec<Row>> {
         let holds = |(key, version): &(Key, u64)| self.version_of(key) == *version;
         if !changes.expected_versions.iter().all(holds) {
