Cell tests: one fixture for an acknowledged end, and the fixture's entry in place of another

The assertions stay; the one that polls acknowledge end 1 is now in the fixture and so in one test more.

--- a/crates/catkin-cell/tests/cell/fixture.rs
+++ b/crates/catkin-cell/tests/cell/fixture.rs
@@ -1,5 +1,6 @@
 //! A cell whose workers say exactly what a test lets them say.
 
+use crate::owner::step;
 use catkin_cell::action::StoredJob;
 use catkin_cell::job::{Job, Step};
 use catkin_cell::worker::{
@@ -48,6 +49,20 @@
         f
     }
 
+    /// Returns a cell whose only worker has ended a task, and that worker. Polls acknowledge the end, which has number 1.
+    pub fn with_acknowledged_end() -> (Self, WorkerIndex) {
+        let mut f = Self::new(1);
+        f.accept(1, "batch", vec![step(1, 1_000, 1_000)]);
+        f.tick();
+        let starts = f.take_starts();
+        f.tick();
+        f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
+        f.tick();
+        let idx = f.worker(0);
+        assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 1);
+        (f, idx)
+    }
+
     /// Returns a cell with `workers` workers, none of which has answered.
     pub fn unheard(workers: usize) -> Self {
         let mut cell = Cell::new(Options::default(), 1, Duration::from_secs(1));
--- a/crates/catkin-cell/tests/cell/incarnation.rs
+++ b/crates/catkin-cell/tests/cell/incarnation.rs
@@ -112,15 +112,7 @@
 /// An end was forgotten unread, by the numbers of the worker's former life, and its task started again (TWICE).
 #[test]
 fn nothing_is_acknowledged_after_a_start_before_the_worker_was_read_again() {
-    let mut f = Fixture::new(1);
-    f.accept(1, "batch", vec![step(1, 100, 1_000)]);
-    f.tick();
-    let starts = f.take_starts();
-    f.tick();
-    f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
-    f.tick();
-    let idx = f.worker(0);
-    assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 1);
+    let (mut f, idx) = Fixture::with_acknowledged_end();
     // The worker restarts unnoticed, takes the next start, and ends it.
     f.accept(2, "batch", vec![step(1, 100, 1_000)]);
     f.tick();
@@ -137,14 +129,7 @@
 /// A poll without an answer is the first sign of a worker that has restarted.
 #[test]
 fn nothing_is_acknowledged_while_a_worker_does_not_answer() {
-    let mut f = Fixture::new(1);
-    f.accept(1, "batch", vec![step(1, 100, 1_000)]);
-    f.tick();
-    let starts = f.take_starts();
-    f.tick();
-    f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
-    f.tick();
-    let idx = f.worker(0);
+    let (mut f, idx) = Fixture::with_acknowledged_end();
     f.cell.handle_missed_poll(idx);
     assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 0);
 }
--- a/crates/catkin-cell/tests/cell/liveness.rs
+++ b/crates/catkin-cell/tests/cell/liveness.rs
@@ -136,15 +136,7 @@
 
 #[test]
 fn ends_of_a_worker_whose_clock_went_back_dropped_unread() {
-    let mut f = Fixture::new(1);
-    f.accept(1, "batch", vec![step(1, 1_000, 1_000)]);
-    f.tick();
-    let starts = f.take_starts();
-    f.tick();
-    f.report_ends(0, FIRST_INCARNATION, &[], &[(starts[0].task, starts[0].run)]);
-    f.tick();
-    let idx = f.worker(0);
-    assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 1);
+    let (mut f, idx) = Fixture::with_acknowledged_end();
     // The end numbers of the next incarnation begin at 1 again.
     f.cell.update_workers(vec![entry(0, FIRST_INCARNATION - 1)], false, f.now);
     assert_eq!(f.cell.poll_params(idx, f.now).acknowledged, 0);
--- a/crates/catkin-cell/tests/cell/unconfigured.rs
+++ b/crates/catkin-cell/tests/cell/unconfigured.rs
@@ -1,13 +1,13 @@
 //! Jobs of a queue that left the configuration before their owner took over.
 
+use crate::fixture::entry;
 use crate::owner::step;
 use catkin_cell::action::StoredJob;
 use catkin_cell::job::Job;
 use catkin_cell::progress::{Failures, Progress, StepProgress};
 use catkin_cell::queue::{AdviceSettings, Policy};
-use catkin_cell::worker::{EndReason, TaskEnd, WorkerInfo, WorkerReport};
+use catkin_cell::worker::{EndReason, TaskEnd, WorkerReport};
 use catkin_cell::{Action, Cell, Options, Queue, StepRef, Task};
-use catkin_types::Resources;
 use std::time::Duration;
 
 const START: Duration = Duration::from_secs(100);
@@ -31,14 +31,7 @@
     let on = vec!["w0".to_owned()];
     let steps = vec![StepProgress { run: 2, on, failed, ..StepProgress::default() }];
     cell.add(1, StoredJob { job, progress: Progress { steps } }, Duration::ZERO, START);
-    let worker = WorkerInfo {
-        id: "w0".into(),
-        service: "s".into(),
-        incarnation: 1,
-        capacity: Resources::new(4_000, 4_000, 0),
-        ..WorkerInfo::default()
-    };
-    cell.update_workers(vec![worker], false, START);
+    cell.update_workers(vec![entry(0, 1)], false, START);
     let idx = cell.worker_indices().next().expect("the worker is listed");
     let reason = EndReason::Failed;
     let end = TaskEnd { number: 1, task: task(), run: 2, reason, checkpoint: String::new() };
