Config: the version in force, its age, and the bytes of answers that are given up

Now: - an answer that is given up says how many of its bytes had arrived, and catkin_received_bytes counts them too; - catkin_config_version and catkin_config_age_ms, since when the version is known to be the newest; - one warning when that age passes bounds.config_ms (new in the settings), with the reason of the last failed read, and one line when the daemon is up to date again. No decision depends on any of it.

--- a/crates/catkin-http/src/client/mod.rs
+++ b/crates/catkin-http/src/client/mod.rs
@@ -3,6 +3,7 @@
 use crate::body::{self, Body};
 use crate::error::Error;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
 use hyper::{Method, Request, Response, StatusCode};
@@ -45,7 +46,7 @@
 pub struct Traffic {
     /// Bytes of request bodies.
     pub sent: AtomicU64,
-    /// Bytes of response bodies that were read to their end.
+    /// Bytes of response bodies, also of those that were not read to their end.
     pub received: AtomicU64,
     /// Requests, including failed ones.
     pub exchanges: AtomicU64,
@@ -137,16 +138,14 @@
         t.sent.fetch_add(req.body().len() as u64, Ordering::Relaxed);
         t.exchanges.fetch_add(1, Ordering::Relaxed);
         let req = req.map(body::full);
+        let received = AtomicU64::new(0);
         let response = async {
             let res = self.send(req, timeout).await?;
             let status = res.status().as_u16();
-            Ok((status, body::read(res.into_body(), self.opt.max_answer).await?))
+            Ok((status, self.read_counted(res.into_body(), &received).await?))
         };
-        let timed_out =
-            || Error::Lost(format!("no whole answer within {} ms", timeout.as_millis()));
-        let answer = tokio::time::timeout(timeout, response).await.map_err(|_| timed_out())??;
-        t.received.fetch_add(answer.1.len() as u64, Ordering::Relaxed);
-        Ok(answer)
+        let answer = tokio::time::timeout(timeout, response).await;
+        answer.map_err(|_| timed_out(timeout, received.into_inner()))?
     }
 
     /// Sends a JSON value and reads a JSON response.
@@ -194,17 +193,16 @@
         }
         let req = req.body(body::empty()).map_err(|e| Error::NotSent(e.to_string()))?;
         self.traffic.exchanges.fetch_add(1, Ordering::Relaxed);
+        let received = AtomicU64::new(0);
         let response = async {
             let res = self.send(req, timeout).await?;
             let etag = res.headers().get(ETAG).and_then(|t| t.to_str().ok()).map(str::to_owned);
             let status = res.status();
-            Ok((status, etag, body::read(res.into_body(), self.opt.max_answer).await?))
+            Ok((status, etag, self.read_counted(res.into_body(), &received).await?))
         };
-        let timed_out =
-            || Error::Lost(format!("no whole answer within {} ms", timeout.as_millis()));
+        let answer = tokio::time::timeout(timeout, response).await;
         let (status, etag, bytes) =
-            tokio::time::timeout(timeout, response).await.map_err(|_| timed_out())??;
-        self.traffic.received.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+            answer.map_err(|_| timed_out(timeout, received.into_inner()))??;
         if status == StatusCode::NOT_MODIFIED {
             return Ok(None);
         }
@@ -216,6 +214,17 @@
         Ok(Some((etag, value)))
     }
 
+    /// Reads a body to its end, and counts its bytes in `received` and in the traffic as they arrive.
+    async fn read_counted(&self, body: Incoming, received: &AtomicU64) -> Result<Bytes, Error> {
+        let counted = body.map_frame(|frame| {
+            let n = frame.data_ref().map_or(0, Bytes::len) as u64;
+            received.fetch_add(n, Ordering::Relaxed);
+            self.traffic.received.fetch_add(n, Ordering::Relaxed);
+            frame
+        });
+        body::read(counted, self.opt.max_answer).await
+    }
+
     async fn read_json<R: DeserializeOwned>(
         &self,
         method: Method,
@@ -231,3 +240,9 @@
         serde_json::from_slice(&bytes).map_err(|e| Error::Malformed(e.to_string()))
     }
 }
+
+/// Returns the error for an answer of which this many bytes were received when its time was over.
+fn timed_out(timeout: Duration, received: u64) -> Error {
+    let ms = timeout.as_millis();
+    Error::Lost(format!("no whole answer within {ms} ms, {received} bytes of it received"))
+}
--- a/crates/catkin-node/src/config_watch/mod.rs
+++ b/crates/catkin-node/src/config_watch/mod.rs
@@ -1,5 +1,8 @@
 //! Watches the configuration in the table service.
 
+pub mod freshness;
+
+use self::freshness::Freshness;
 use crate::Cx;
 use catkin_platform::config::{self, CONFIG_KEY, CONFIG_TABLE, Config};
 use catkin_platform::error::Error;
@@ -16,7 +19,7 @@
 /// The delay after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Publishes each newer configuration on `tx` until the daemon stops.
+/// Publishes each newer configuration on `tx`, and when the newest one was known to be so, until the daemon stops.
 pub async fn run(cx: Arc<Cx>, tx: watch::Sender<Option<Arc<Config>>>) {
     loop {
         let Some(mut after) = read_config(&cx, &tx).await else {
@@ -31,9 +34,11 @@
                         .filter(|r| r.key == CONFIG_KEY)
                         .for_each(|r| apply_row(&tx, r));
                     after = after.max(rows.version);
+                    cx.config_freshness.send_modify(Freshness::record_checked);
                 }
                 Err(Error::HistoryGone) => break,
                 Err(e) => {
+                    cx.config_freshness.send_modify(|f| f.record_failure(&e));
                     tracing::debug!("config: polling for changes failed, will read again: {e}");
                     tokio::time::sleep(RETRY_DELAY).await;
                     // A read is answered at once, so it shows sooner than a poll whether the service is back.
@@ -52,11 +57,15 @@
         .table
         .read_with_version(&key, READ_TIMEOUT)
         .await
-        .inspect_err(|e| tracing::debug!("config: reading failed, will retry: {e}"))
+        .inspect_err(|e| {
+            cx.config_freshness.send_modify(|f| f.record_failure(e));
+            tracing::debug!("config: reading failed, will retry: {e}");
+        })
         .ok()?;
     if let Some(row) = row {
         apply_row(tx, &row);
     }
+    cx.config_freshness.send_modify(Freshness::record_checked);
     Some(version)
 }
 
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -1,5 +1,6 @@
 //! The context that all parts of a daemon share.
 
+use crate::config_watch::freshness::Freshness;
 use crate::leadership::term::Term;
 use crate::metrics::Metrics;
 use crate::owner::Owner;
@@ -58,6 +59,8 @@
     pub calls: PeerClient,
     /// The newest configuration; `None` until one was read.
     pub config: watch::Receiver<Option<Arc<Config>>>,
+    /// When that configuration was last known to be the newest.
+    pub config_freshness: watch::Sender<Freshness>,
     /// The owner of the cell; `None` if there is none or it is not known.
     pub leader: watch::Sender<Option<Leader>>,
     /// The owner actor, if this daemon owns the cell.
@@ -102,6 +105,7 @@
             incarnation: rand::random(),
             calls,
             config,
+            config_freshness: watch::Sender::new(Freshness::default()),
             leader: watch::Sender::new(None),
             owner: watch::Sender::new(None),
             owner_healthy: watch::Sender::new(false),
@@ -122,6 +126,12 @@
         self.started.elapsed()
     }
 
+    /// The version of the configuration in force; `None` until one was read.
+    #[must_use]
+    pub fn config_version(&self) -> Option<u64> {
+        self.config.borrow().as_ref().map(|c| c.version)
+    }
+
     /// Records a heartbeat of another daemon.
     pub fn record_peer(&self, addr: SocketAddr) {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner).insert(addr, Instant::now());
--- a/crates/catkin-node/src/node.rs
+++ b/crates/catkin-node/src/node.rs
@@ -4,9 +4,11 @@
 use crate::metrics::Metrics;
 use crate::settings::{Settings, duration_from_ms};
 use crate::{Error, config_watch, gate, leadership, peers};
+use catkin_cell::worker::millis;
 use catkin_http::server;
 use error_stack::{Report, ResultExt};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -78,7 +80,10 @@
         };
         let (config_tx, config) = tokio::sync::watch::channel(None);
         let cx = Arc::new(Cx::new(cfg, peering.calls.clone(), config, &http, metrics));
+        observe(&cx, &http);
         cx.spawn(config_watch::run(Arc::clone(&cx), config_tx));
+        let config_limit = duration_from_ms(cx.cfg.bounds.config_ms);
+        cx.spawn(config_watch::freshness::report(Arc::clone(&cx), config_limit));
         cx.spawn(peers::run(Arc::clone(&cx), calls_rx));
         cx.spawn(leadership::run(Arc::clone(&cx)));
         let node =
@@ -135,3 +140,15 @@
         tracing::info!(daemon = self.cx.cfg.daemon.id, "node: stopped");
     }
 }
+
+/// Exports the version of the configuration, its age, and the bytes of the answers that the daemon received.
+fn observe(cx: &Cx, http: &catkin_http::Client) {
+    let config = cx.config.clone();
+    let version = move || config.borrow().as_ref().map_or(0, |c| c.version);
+    cx.metrics.observe("catkin_config_version", version);
+    let freshness = cx.config_freshness.subscribe();
+    cx.metrics.observe("catkin_config_age_ms", move || millis(freshness.borrow().age()));
+    let traffic = Arc::clone(http.traffic());
+    let received = move || traffic.received.load(Ordering::Relaxed);
+    cx.metrics.observe("catkin_received_bytes", received);
+}
--- a/crates/catkin-node/src/settings/mod.rs
+++ b/crates/catkin-node/src/settings/mod.rs
@@ -92,13 +92,21 @@
     pub gang_wait_ms: f64,
     /// How long the daemon may take to stop after a signal.
     pub stop_ms: f64,
+    /// How long after its acknowledgement a change of the configuration may take to be in force.
+    pub config_ms: f64,
     /// How long the owner keeps the state of a job in memory after its end.
     pub remember_ms: f64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { lease_ms: 6_000.0, gang_wait_ms: 3_000.0, stop_ms: 6_000.0, remember_ms: 120_000.0 }
+        Self {
+            lease_ms: 6_000.0,
+            gang_wait_ms: 3_000.0,
+            stop_ms: 6_000.0,
+            config_ms: 4_000.0,
+            remember_ms: 120_000.0,
+        }
     }
 }
 
