--- a/crates/catkin-standin/src/proxy.rs
+++ b/crates/catkin-standin/src/proxy.rs
@@ -2,13 +2,14 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
 
 /// The largest amount of data that is forwarded at once.
 const BUFFER_BYTES: usize = 16 * 1_024;
@@ -21,6 +22,8 @@
     None,
     /// Each chunk of data is forwarded after this delay.
     Delay(Duration),
+    /// Data from the server to the clients shares a link with this rate, in bytes a second.
+    SlowLink(u64),
     /// Data from the client to the server is discarded. A connection that lost data stays blocked in this direction,
     /// even after the fault is cleared.
     NoRequests,
@@ -79,10 +82,11 @@
     fault: watch::Receiver<ConnectionFault>,
 ) {
     let mut connections = JoinSet::new();
+    let link = Arc::new(Link::default());
     loop {
         while connections.try_join_next().is_some() {}
         let Ok((incoming, _)) = listener.accept().await else { continue };
-        connections.spawn(proxy_connection(incoming, target, fault.clone()));
+        connections.spawn(proxy_connection(incoming, target, fault.clone(), Arc::clone(&link)));
     }
 }
 
@@ -90,6 +94,7 @@
     client: TcpStream,
     target: SocketAddr,
     fault: watch::Receiver<ConnectionFault>,
+    link: Arc<Link>,
 ) {
     if *fault.borrow() == ConnectionFault::Reset {
         return;
@@ -100,8 +105,8 @@
     let (server_reader, server_writer) = server.into_split();
     let fault = Arc::new(fault);
     tokio::select! {
-        () = forward(client_reader, server_writer, &fault, ConnectionFault::NoRequests) => {}
-        () = forward(server_reader, client_writer, &fault, ConnectionFault::NoResponses) => {}
+        () = forward(client_reader, server_writer, &fault, None) => {}
+        () = forward(server_reader, client_writer, &fault, Some(&link)) => {}
         () = wait_for_reset(fault.as_ref().clone()) => {}
     }
 }
@@ -113,14 +118,37 @@
     }
 }
 
-/// Forwards data in one direction until the connection ends. Once data has been discarded, this direction stays blocked,
-/// since the byte stream is no longer complete.
+/// The link over which the data of all connections comes from the server, one piece after the other.
+#[derive(Debug, Default)]
+struct Link {
+    free_at: Mutex<Option<Instant>>,
+}
+
+impl Link {
+    /// Waits until this many bytes have passed the link.
+    async fn pass(&self, bytes: usize, bytes_per_s: u64) {
+        let time = Duration::from_micros(bytes as u64 * 1_000_000 / bytes_per_s);
+        let passed = {
+            let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+            let now = Instant::now();
+            let passed = free_at.map_or(now, |at| at.max(now)) + time;
+            *free_at = Some(passed);
+            passed
+        };
+        tokio::time::sleep_until(passed).await;
+    }
+}
+
+/// Forwards data in one direction until the connection ends: from the server if there is a `link`, to it otherwise. Once
+/// data has been discarded, this direction stays blocked, since the byte stream is no longer complete.
 async fn forward(
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
     fault: &watch::Receiver<ConnectionFault>,
-    blocking_fault: ConnectionFault,
+    link: Option<&Link>,
 ) {
+    let blocking_fault =
+        if link.is_some() { ConnectionFault::NoResponses } else { ConnectionFault::NoRequests };
     let mut buf = vec![0; BUFFER_BYTES];
     let mut blocked = false;
     loop {
@@ -130,8 +158,10 @@
         if blocked {
             continue;
         }
-        if let ConnectionFault::Delay(delay) = current {
-            tokio::time::sleep(delay).await;
+        match (current, link) {
+            (ConnectionFault::Delay(delay), _) => tokio::time::sleep(delay).await,
+            (ConnectionFault::SlowLink(rate), Some(link)) => link.pass(n, rate).await,
+            _ => {}
         }
         if writer.write_all(&buf[..n]).await.is_err() {
             return;
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -16,5 +16,6 @@
 mod path;
 mod refused;
 mod restart;
+mod slow_link;
 mod unnotified;
 mod unreadable;
--- /dev/null
+++ b/tests/node_path/slow_link.rs
@@ -0,0 +1,49 @@
+//! Daemons whose link to the table service is slow.
+
+use crate::deployment::{Deployment, Node, eventually};
+use catkin_platform_standin::Options;
+use catkin_standin::proxy::ConnectionFault;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long after its acknowledgement a change of the configuration is in force everywhere.
+const CONFIG_BOUND: Duration = Duration::from_secs(4);
+
+const fn megabits(n: u64) -> u64 {
+    n * 1_000_000 / 8
+}
+
+async fn start_on_link(name: &str, bytes_per_s: u64) -> Deployment {
+    let mut d = Deployment::prepare_proxied(name, 1, &Options::default()).await;
+    d.links[0].set_fault(ConnectionFault::SlowLink(bytes_per_s));
+    d.nodes[0].spawn(false);
+    d.wait_ready().await;
+    d
+}
+
+async fn version_in_force(node: &Node) -> f64 {
+    node.metric("catkin_config_version").await.unwrap_or_default()
+}
+
+/// Writes a version of the configuration, and checks that it is in force within the bound.
+async fn check_in_force(d: &Deployment, version: u32, routes: usize) {
+    let written = Instant::now();
+    d.platform.write_routes(version.into(), routes);
+    let what = format!("version {version} with {routes} routes is in force");
+    eventually(&what, async || version_in_force(&d.nodes[0]).await >= version.into()).await;
+    let took = written.elapsed();
+    assert!(took <= CONFIG_BOUND, "{what} after {took:?}");
+}
+
+/// Polls whose answer was given up before it had arrived whole left a daemon with its first version for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_change_of_a_configuration_of_any_size_that_the_link_bears_is_in_force_in_time() {
+    for (rate, routes) in [(2, 700), (10, 45), (10, 1_400), (10, 4_200), (10, 10_000), (50, 30_000)]
+    {
+        let d = start_on_link(&format!("config-{rate}-{routes}"), megabits(rate)).await;
+        for version in 2..5 {
+            check_in_force(&d, version, routes).await;
+        }
+        d.stop_and_check().await;
+    }
+}
