Table: an answer that still arrives is not given up

Cause: each read from the table had one limit on the whole answer (0.6 s to 3 s; a poll 2.1 s less the time that it had waited), which knew neither size nor link. Above 600 KB at 10 Mbit/s no read could succeed, and each attempt began with the first byte again while the rest of the one before still filled the link. An answer given up counted as silence of the table, so readiness failed and the gate refused jobs. The class: a timeout on a transfer instead of on its progress.

Now a read has a limit until its answer begins, and one on the time without progress (2 s), with a lowest rate (32 KB/s) so that a trickle ends. Data that arrives shows that the table serves. Latency is the time until the answer begins, and the time of the clock too. All reads of the table go this way: configuration, changes, pages at a take-over, the list of workers. Reads of one row within a client's deadline keep the limit on the whole. After a failed poll the daemon polls again without waiting, in place of reading the whole row; of several versions in one answer only the newest is read.

Evidence: the test fails before (10,000 routes at 10 Mbit/s never in force), and passes with 45 to 30,000 routes at 2 to 50 Mbit/s. The paced reader has tests of its own on a paused clock: links of 0.3 to 200 Mbit/s, a body that stands still, one that trickles.

--- a/crates/catkin-http/src/body/mod.rs
+++ b/crates/catkin-http/src/body/mod.rs
@@ -1,5 +1,7 @@
 //! Bodies of requests and responses.
 
+pub mod paced;
+
 use crate::Error;
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
--- a/crates/catkin-http/src/client/mod.rs
+++ b/crates/catkin-http/src/client/mod.rs
@@ -1,10 +1,11 @@
 //! An HTTP/1 client with a connection pool.
 
+use crate::body::paced::{self, Pace};
 use crate::body::{self, Body};
 use crate::error::Error;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy;
@@ -148,6 +149,32 @@
         answer.map_err(|_| timed_out(timeout, received.into_inner()))?
     }
 
+    /// Sends a request and reads the whole response, which may be large: after its head, which `timeout` limits, it may
+    /// take as long as it keeps the pace. Calls `on_data` with the status and the number of bytes of the body that have
+    /// arrived: with 0 at the head, and after each piece of the body.
+    ///
+    /// # Errors
+    /// As [`Client::exchange`], with [`Error::TooLarge`] above `max` bytes too, and [`Error::Lost`] if the body does not
+    /// keep the pace.
+    pub async fn fetch(
+        &self,
+        req: Request<Bytes>,
+        timeout: Duration,
+        pace: Pace,
+        max: u64,
+        on_data: impl Fn(u16, u64),
+    ) -> Result<(u16, Bytes), Error> {
+        let t = &self.traffic;
+        t.sent.fetch_add(req.body().len() as u64, Ordering::Relaxed);
+        t.exchanges.fetch_add(1, Ordering::Relaxed);
+        let res = self.send(req.map(body::full), timeout).await?;
+        let status = res.status().as_u16();
+        let body = self.count(res.into_body());
+        let max = max.min(self.opt.max_answer);
+        let bytes = paced::read(body, max, pace, |received| on_data(status, received)).await?;
+        Ok((status, bytes))
+    }
+
     /// Sends a JSON value and reads a JSON response.
     ///
     /// # Errors
@@ -216,15 +243,21 @@
 
     /// Reads a body to its end, and counts its bytes in `received` and in the traffic as they arrive.
     async fn read_counted(&self, body: Incoming, received: &AtomicU64) -> Result<Bytes, Error> {
-        let counted = body.map_frame(|frame| {
-            let n = frame.data_ref().map_or(0, Bytes::len) as u64;
-            received.fetch_add(n, Ordering::Relaxed);
-            self.traffic.received.fetch_add(n, Ordering::Relaxed);
+        let counted = self.count(body).map_frame(|frame| {
+            received.fetch_add(data_len(&frame), Ordering::Relaxed);
             frame
         });
         body::read(counted, self.opt.max_answer).await
     }
 
+    /// Counts the bytes of a body in the traffic as they arrive.
+    fn count(&self, body: Incoming) -> impl hyper::body::Body<Data = Bytes, Error = hyper::Error> {
+        body.map_frame(|frame| {
+            self.traffic.received.fetch_add(data_len(&frame), Ordering::Relaxed);
+            frame
+        })
+    }
+
     async fn read_json<R: DeserializeOwned>(
         &self,
         method: Method,
@@ -246,3 +279,8 @@
     let ms = timeout.as_millis();
     Error::Lost(format!("no whole answer within {ms} ms, {received} bytes of it received"))
 }
+
+/// Returns the number of bytes of data in a frame of a body.
+fn data_len(frame: &Frame<Bytes>) -> u64 {
+    frame.data_ref().map_or(0, Bytes::len) as u64
+}
--- /dev/null
+++ b/crates/catkin-http/tests/http/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP client.
+
+mod paced;
--- a/crates/catkin-node/src/config_watch/mod.rs
+++ b/crates/catkin-node/src/config_watch/mod.rs
@@ -14,64 +14,68 @@
 
 /// How long one poll for changes waits at the service. A connection that went silent is noticed with this delay.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(1_500);
-/// The timeout for reading the complete configuration.
+/// How long the service may take to begin its answer to a read of the complete configuration.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// The delay after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Publishes each newer configuration on `tx`, and when the newest one was known to be so, until the daemon stops.
 pub async fn run(cx: Arc<Cx>, tx: watch::Sender<Option<Arc<Config>>>) {
+    let mut after = None;
+    let mut poll_time = LONG_POLL_WAIT;
     loop {
-        let Some(mut after) = read_config(&cx, &tx).await else {
-            tokio::time::sleep(RETRY_DELAY).await;
-            continue;
+        let result = match after {
+            None => read_config(&cx, &tx).await,
+            Some(version) => read_changes(&cx, &tx, version, poll_time).await,
         };
-        loop {
-            match cx.table.changes(CONFIG_TABLE, after, LONG_POLL_WAIT).await {
-                Ok(rows) => {
-                    rows.rows
-                        .iter()
-                        .filter(|r| r.key == CONFIG_KEY)
-                        .for_each(|r| apply_row(&tx, r));
-                    after = after.max(rows.version);
-                    cx.config_freshness.send_modify(Freshness::record_checked);
-                }
-                Err(Error::HistoryGone) => break,
-                Err(e) => {
-                    cx.config_freshness.send_modify(|f| f.record_failure(&e));
-                    tracing::debug!("config: polling for changes failed, will read again: {e}");
-                    tokio::time::sleep(RETRY_DELAY).await;
-                    // A read is answered at once, so it shows sooner than a poll whether the service is back.
-                    break;
-                }
+        match result {
+            Ok(version) => {
+                after = Some(version);
+                poll_time = LONG_POLL_WAIT;
+                cx.config_freshness.send_modify(Freshness::record_checked);
+            }
+            Err(e @ Error::HistoryGone) if after.is_some() => {
+                tracing::debug!("config: the changes are not read, but the row: {e}");
+                after = None;
+            }
+            Err(e) => {
+                tracing::debug!("config: reading failed, will retry: {e}");
+                cx.config_freshness.send_modify(|f| f.record_failure(&e));
+                // A poll that does not wait shows sooner whether the service is back.
+                poll_time = Duration::ZERO;
+                tokio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
 }
 
-/// Reads the configuration. Returns the version after which changes are new, or `None` if the read failed.
-async fn read_config(cx: &Cx, tx: &watch::Sender<Option<Arc<Config>>>) -> Option<u64> {
+/// Reads the configuration. Returns the version after which changes are new.
+async fn read_config(cx: &Cx, tx: &watch::Sender<Option<Arc<Config>>>) -> Result<u64, Error> {
     let key =
         Key { table: Cow::Borrowed(CONFIG_TABLE), part: Cow::Borrowed(""), key: CONFIG_KEY.into() };
-    let (row, version) = cx
-        .table
-        .read_with_version(&key, READ_TIMEOUT)
-        .await
-        .inspect_err(|e| {
-            cx.config_freshness.send_modify(|f| f.record_failure(e));
-            tracing::debug!("config: reading failed, will retry: {e}");
-        })
-        .ok()?;
+    let (row, after) = cx.table.read_with_version(&key, READ_TIMEOUT).await?;
     if let Some(row) = row {
         apply_row(tx, &row);
     }
-    cx.config_freshness.send_modify(Freshness::record_checked);
-    Some(version)
+    Ok(after)
+}
+
+/// Reads the changes after a version, for the first of which the service waits for `poll_time`. Returns the version after
+/// which changes are new.
+async fn read_changes(
+    cx: &Cx,
+    tx: &watch::Sender<Option<Arc<Config>>>,
+    after: u64,
+    poll_time: Duration,
+) -> Result<u64, Error> {
+    let rows = cx.table.changes(CONFIG_TABLE, after, poll_time, u64::MAX).await?;
+    rows.rows.iter().rev().filter(|r| r.key == CONFIG_KEY).any(|row| apply_row(tx, row));
+    Ok(after.max(rows.version))
 }
 
-/// Publishes the configuration of a row, if it is newer than the one in force.
-fn apply_row(tx: &watch::Sender<Option<Arc<Config>>>, row: &Row) {
-    let Some(value) = &row.value else { return };
+/// Publishes the configuration of a row, if it is newer than the one in force. Returns whether the row can be read.
+fn apply_row(tx: &watch::Sender<Option<Arc<Config>>>, row: &Row) -> bool {
+    let Some(value) = &row.value else { return false };
     let config = match config::parse_config(value) {
         Ok(config) => config,
         Err(e) => {
@@ -79,7 +83,7 @@
                 "config: the row at version {} is malformed and is ignored: {e}",
                 row.version
             );
-            return;
+            return false;
         }
     };
     let newer = tx.borrow().as_ref().is_none_or(|old| config.version > old.version);
@@ -90,4 +94,5 @@
         }
         tx.send_replace(Some(Arc::new(config)));
     }
+    true
 }
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -42,7 +42,7 @@
             let mut after = after;
             loop {
                 tokio::time::sleep(WORKERS_POLL_INTERVAL).await;
-                match cx.table.changes(worker_list::TABLE, after, Duration::ZERO).await {
+                match cx.table.changes(worker_list::TABLE, after, Duration::ZERO, u64::MAX).await {
                     Ok(rows) => {
                         after = after.max(rows.version);
                         send_workers(&myself, entries.read(&rows.rows), false);
@@ -83,7 +83,7 @@
             let mut after = loaded_versions.iter().copied().min().unwrap_or(0);
             loop {
                 tokio::time::sleep(JOBS_POLL_INTERVAL).await;
-                match cx.table.changes(JOBS, after, Duration::ZERO).await {
+                match cx.table.changes(JOBS, after, Duration::ZERO, u64::MAX).await {
                     Ok(rows) => {
                         after = after.max(rows.version);
                         send_jobs(&myself, &table::accepted_since(rows.rows, &loaded_versions));
--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -6,8 +6,8 @@
 use super::latency::Latency;
 use crate::metrics::Metrics;
 use catkin_platform::error::Error;
-use catkin_platform::store::{CommitOutcome, Key, Row, Rows, StoreClient, Transaction};
-use std::sync::{Arc, Mutex, PoisonError};
+use catkin_platform::store::{CommitOutcome, Key, Row, Rows, StoreClient, Transaction, Wait};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -72,14 +72,15 @@
     ) -> Result<CommitOutcome, Error> {
         let sent = Instant::now();
         let outcome = self.store.commit(changes, timeout).await;
+        let answered = Instant::now();
         if let Ok(CommitOutcome::Committed { clock_ms, .. }) = &outcome {
-            self.record_clock(*clock_ms, sent);
+            self.record_clock(*clock_ms, sent, answered);
         }
-        self.record(COMMIT, sent, full_wait, &outcome);
+        self.record(COMMIT, sent, answered, full_wait, &outcome);
         outcome
     }
 
-    /// Reads one page of rows of one part of a table, from the key `from` on.
+    /// Reads one page of rows of one part of a table, from the key `from` on. A page may take long to arrive.
     ///
     /// # Errors
     /// As [`StoreClient::read`].
@@ -87,15 +88,19 @@
         self.read_some(table, part, from, None, Latency::max_timeout()).await
     }
 
-    /// Reads one row. Returns `None` if it does not exist. `max_wait` limits the timeout.
+    /// Reads one row. Returns `None` if it does not exist. `max_wait` limits the whole read.
     ///
     /// # Errors
     /// As [`StoreClient::read`].
     pub async fn read_one(&self, key: &Key, max_wait: Duration) -> Result<Option<Row>, Error> {
-        Ok(self.read_with_version(key, max_wait).await?.0)
+        let read = self.read_with_version(key, max_wait);
+        let out_of_time =
+            |_| Error::Unknown(format!("no whole answer within {} ms", max_wait.as_millis()));
+        Ok(tokio::time::timeout(max_wait, read).await.map_err(out_of_time)??.0)
     }
 
-    /// Reads one row, and the version of the newest transaction of the service.
+    /// Reads one row, and the version of the newest transaction of the service. `max_wait` limits the time until the
+    /// answer begins; a large row may take long to arrive.
     ///
     /// # Errors
     /// As [`StoreClient::read`].
@@ -116,27 +121,34 @@
         limit: Option<u32>,
         max_wait: Duration,
     ) -> Result<Rows, Error> {
-        let (sent, timeout) = (Instant::now(), self.call_timeout());
-        let rows = self.store.read(table, part, from, limit, timeout.min(max_wait)).await;
-        if let Ok(rows) = &rows {
-            self.record_clock(rows.clock_ms, sent);
-        }
-        self.record("read", sent, timeout <= max_wait, &rows);
+        let timeout = self.call_timeout();
+        let arrival = Arrival::new(self);
+        let on_data = || arrival.record();
+        let wait = Wait { timeout: timeout.min(max_wait), on_data: &on_data, ..Wait::default() };
+        let rows = self.store.read(table, part, from, limit, wait).await;
+        self.record_rows("read", arrival.sent, &arrival, timeout <= max_wait, &rows);
         rows
     }
 
-    /// Returns the changes of a table after a version. If there are none yet, the service waits up to `wait` for one.
+    /// Returns the changes of a table after a version. If there are none yet, the service waits up to `wait` for one. The
+    /// changes may take long to arrive.
     ///
     /// # Errors
-    /// As [`StoreClient::poll_changes`].
-    pub async fn changes(&self, table: &str, after: u64, wait: Duration) -> Result<Rows, Error> {
-        let sent = Instant::now();
-        let rows = self.store.poll_changes(table, after, wait, wait + self.call_timeout()).await;
-        if let Ok(rows) = &rows {
-            self.record_clock(rows.clock_ms, sent);
-        }
+    /// As [`StoreClient::poll_changes`]; [`Error::TooLarge`] if the changes take more than `max_bytes`.
+    pub async fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+        max_bytes: u64,
+    ) -> Result<Rows, Error> {
+        let arrival = Arrival::new(self);
+        let on_data = || arrival.record();
+        let (timeout, pace) = (self.call_timeout(), Wait::default().pace);
+        let answer = Wait { timeout, pace, max_bytes, on_data: &on_data };
+        let rows = self.store.poll_changes(table, after, wait, answer).await;
         // The requested wait is not part of the latency.
-        self.record("changes", sent + wait, true, &rows);
+        self.record_rows("changes", arrival.sent + wait, &arrival, true, &rows);
         rows
     }
 
@@ -174,36 +186,66 @@
         *self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records the service's time in the answer to a call; 0 if it holds none.
-    fn record_clock(&self, clock_ms: u64, sent: Instant) {
+    /// Records the service's time in the answer to a call, which began at `began`; 0 if it holds none.
+    fn record_clock(&self, clock_ms: u64, sent: Instant, began: Instant) {
         if clock_ms > 0 {
-            let now = Instant::now();
-            let took = now.saturating_duration_since(sent);
+            let took = began.saturating_duration_since(sent);
             let mut h = self.health.lock().unwrap_or_else(PoisonError::into_inner);
-            h.clock.record(clock_ms, took, now);
+            h.clock.record(clock_ms, took, began);
         }
     }
 
-    /// Records the result of a call. A missing answer counts only if the call waited for the full timeout
-    /// (`full_wait`).
-    fn record<T>(&self, call: &str, sent: Instant, full_wait: bool, result: &Result<T, Error>) {
-        let took = Instant::now().saturating_duration_since(sent);
-        self.metrics.record_table_call(call, outcome_label(result), took);
+    /// Records that the service carries out a call, as its answer begins or goes on.
+    fn record_served(&self) {
+        let mut h = self.health.lock().unwrap_or_else(PoisonError::into_inner);
+        h.last_served = Some(Instant::now());
+        if h.availability.record_served() {
+            tracing::info!("table: the service answers again");
+        }
+    }
+
+    /// Records the result of a read that is considered sent at `sent`. The latency is the time until its answer began:
+    /// how long it takes to arrive depends on its size.
+    fn record_rows(
+        &self,
+        call: &str,
+        sent: Instant,
+        arrival: &Arrival<'_>,
+        full_wait: bool,
+        rows: &Result<Rows, Error>,
+    ) {
+        let began = arrival.began();
+        if let Ok(rows) = rows {
+            self.record_clock(rows.clock_ms, sent, began);
+        }
+        self.record(call, sent, began, full_wait, rows);
+    }
+
+    /// Records the result of a call whose answer began at `began`. A missing answer counts only if the call waited for the
+    /// full timeout (`full_wait`).
+    fn record<T>(
+        &self,
+        call: &str,
+        sent: Instant,
+        began: Instant,
+        full_wait: bool,
+        result: &Result<T, Error>,
+    ) {
+        let took = began.saturating_duration_since(sent);
+        self.metrics.record_table_call(call, outcome_label(result), sent.elapsed());
         let mut h = self.health.lock().unwrap_or_else(PoisonError::into_inner);
         // A call that was sent before the last success says nothing about the present state.
         let is_news = h.last_served.is_none_or(|at| at < sent);
         match result {
-            Ok(_) | Err(Error::HistoryGone) => {
+            Ok(_) | Err(Error::HistoryGone | Error::TooLarge(_)) => {
                 if !took.is_zero() {
                     match call {
                         COMMIT => h.latency.record_write(took),
                         _ => h.latency.record_answer(took),
                     }
                 }
-                h.last_served = Some(Instant::now());
-                if h.availability.record_served() {
-                    tracing::info!("table: the service answers again");
-                }
+                drop(h);
+                self.record_served();
             }
             Err(Error::NotDone(e)) => {
                 if is_news && h.availability.record_rejected() {
@@ -224,6 +266,30 @@
     }
 }
 
+/// An answer that arrives.
+struct Arrival<'a> {
+    client: &'a Client,
+    sent: Instant,
+    began: OnceLock<Instant>,
+}
+
+impl<'a> Arrival<'a> {
+    fn new(client: &'a Client) -> Self {
+        Self { client, sent: Instant::now(), began: OnceLock::new() }
+    }
+
+    /// Records that the answer begins or goes on.
+    fn record(&self) {
+        self.began.get_or_init(Instant::now);
+        self.client.record_served();
+    }
+
+    /// When the answer began; now if it has not.
+    fn began(&self) -> Instant {
+        self.began.get().copied().unwrap_or_else(Instant::now)
+    }
+}
+
 /// Returns the metric label for the result of a call.
 fn outcome_label<T>(result: &Result<T, Error>) -> &'static str {
     match result {
@@ -231,6 +297,7 @@
         Err(Error::HistoryGone) => "history_gone",
         Err(Error::NotDone(_)) => "declined",
         Err(Error::Refused(_)) => "refused",
+        Err(Error::TooLarge(_)) => "too_large",
         Err(Error::Malformed(_)) => "malformed",
         Err(Error::Unknown(_)) => "lost",
     }
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -7,7 +7,6 @@
 mod cancelled;
 mod check;
 mod crashes;
-#[expect(dead_code, reason = "the rest is used by the soak test")]
 mod deployment;
 mod load;
 mod logs;
