Config: versions that pile up are read as one row

With 4,200 routes at 10 Mbit/s and a version each 0.33 s, the last version was in force 7.15 s after it was written, beyond the bound of 4 s: while one version arrives others are written, and the next answer to a poll holds each of them whole, so that a daemon falls further behind with every answer.

An answer whose length is over one and a half times that of the configuration is dropped at its head, and the row is read, which holds the newest version only. Answers under 128 KB are read anyway.

--- a/crates/catkin-node/src/config_watch/mod.rs
+++ b/crates/catkin-node/src/config_watch/mod.rs
@@ -18,25 +18,46 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// The delay after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Changes that take more bytes than the configuration by this many halves hold several versions of it.
+const MAX_CHANGES_HALVES: u64 = 3;
+/// Changes of fewer bytes are read however many versions they hold.
+const MIN_CHANGES_BYTES: u64 = 128 * 1_024;
+
+/// What is known of the row of the configuration.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    /// Changes after this version are new.
+    after: u64,
+    /// The size of the value of the row.
+    bytes: usize,
+}
+
+impl Position {
+    /// Returns the size of an answer, which holds values as base64, above which it is cheaper to read the row.
+    fn max_changes(self) -> u64 {
+        let encoded = self.bytes as u64 * 4 / 3;
+        (encoded * MAX_CHANGES_HALVES / 2).max(MIN_CHANGES_BYTES)
+    }
+}
 
 /// Publishes each newer configuration on `tx`, and when the newest one was known to be so, until the daemon stops.
 pub async fn run(cx: Arc<Cx>, tx: watch::Sender<Option<Arc<Config>>>) {
-    let mut after = None;
+    let mut position = None;
     let mut poll_time = LONG_POLL_WAIT;
     loop {
-        let result = match after {
+        let result = match position {
             None => read_config(&cx, &tx).await,
-            Some(version) => read_changes(&cx, &tx, version, poll_time).await,
+            Some(p) => read_changes(&cx, &tx, p, poll_time).await,
         };
         match result {
-            Ok(version) => {
-                after = Some(version);
+            Ok(p) => {
+                position = Some(p);
                 poll_time = LONG_POLL_WAIT;
                 cx.config_freshness.send_modify(Freshness::record_checked);
             }
-            Err(e @ Error::HistoryGone) if after.is_some() => {
+            Err(e @ (Error::HistoryGone | Error::TooLarge(_))) if position.is_some() => {
                 tracing::debug!("config: the changes are not read, but the row: {e}");
-                after = None;
+                position = None;
             }
             Err(e) => {
                 tracing::debug!("config: reading failed, will retry: {e}");
@@ -49,28 +70,38 @@
     }
 }
 
-/// Reads the configuration. Returns the version after which changes are new.
-async fn read_config(cx: &Cx, tx: &watch::Sender<Option<Arc<Config>>>) -> Result<u64, Error> {
+/// Reads the configuration.
+async fn read_config(cx: &Cx, tx: &watch::Sender<Option<Arc<Config>>>) -> Result<Position, Error> {
     let key =
         Key { table: Cow::Borrowed(CONFIG_TABLE), part: Cow::Borrowed(""), key: CONFIG_KEY.into() };
     let (row, after) = cx.table.read_with_version(&key, READ_TIMEOUT).await?;
+    let bytes = row.as_ref().map_or(0, value_len);
     if let Some(row) = row {
         apply_row(tx, &row);
     }
-    Ok(after)
+    Ok(Position { after, bytes })
 }
 
-/// Reads the changes after a version, for the first of which the service waits for `poll_time`. Returns the version after
-/// which changes are new.
+/// Reads the changes after a position, for the first of which the service waits for `poll_time`.
 async fn read_changes(
     cx: &Cx,
     tx: &watch::Sender<Option<Arc<Config>>>,
-    after: u64,
+    mut position: Position,
     poll_time: Duration,
-) -> Result<u64, Error> {
-    let rows = cx.table.changes(CONFIG_TABLE, after, poll_time, u64::MAX).await?;
-    rows.rows.iter().rev().filter(|r| r.key == CONFIG_KEY).any(|row| apply_row(tx, row));
-    Ok(after.max(rows.version))
+) -> Result<Position, Error> {
+    let max_bytes = position.max_changes();
+    let rows = cx.table.changes(CONFIG_TABLE, position.after, poll_time, max_bytes).await?;
+    let versions = rows.rows.iter().rev().filter(|r| r.key == CONFIG_KEY);
+    if let Some(row) = versions.into_iter().find(|row| apply_row(tx, row)) {
+        position.bytes = value_len(row);
+    }
+    position.after = position.after.max(rows.version);
+    Ok(position)
+}
+
+/// Returns the size of a row's value in bytes.
+fn value_len(row: &Row) -> usize {
+    row.value.as_ref().map_or(0, Vec::len)
 }
 
 /// Publishes the configuration of a row, if it is newer than the one in force. Returns whether the row can be read.
--- a/tests/node_path/slow_link.rs
+++ b/tests/node_path/slow_link.rs
@@ -47,3 +47,18 @@
         d.stop_and_check().await;
     }
 }
+
+/// Versions that come while one still arrives piled up in the changes, so that a daemon fell further behind with each.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_that_follows_others_quickly_is_in_force_in_time_on_a_slow_link() {
+    const ROUTES: usize = 4_200;
+    const INTERVAL: Duration = Duration::from_millis(330);
+    const COUNT: u32 = 12;
+    let d = start_on_link("config-storm", megabits(10)).await;
+    for version in 2..2 + COUNT {
+        d.platform.write_routes(version.into(), ROUTES);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    check_in_force(&d, 2 + COUNT, ROUTES).await;
+    d.stop_and_check().await;
+}
