Config: a daemon whose configuration may be old is not ready, and denies no queue

A daemon now knows since when its configuration may be old: from the moment at which the last answer began to arrive. From bounds.config_ms on it is not ready, and answers 503 with Retry-After in place of 404. Requests for known queues are handled as before: in an outage of the table that is every daemon. After an answer that was long on its way the next poll waits less, so that the daemon is ready again as soon as the version is in force.

--- a/crates/catkin-node/src/config_watch/freshness.rs
+++ b/crates/catkin-node/src/config_watch/freshness.rs
@@ -20,9 +20,9 @@
 }
 
 impl Freshness {
-    /// Records that the configuration in force is the newest.
-    pub fn record_checked(&mut self) {
-        *self = Self::default();
+    /// Records that the configuration in force was the newest at `checked`.
+    pub fn record_checked(&mut self, checked: Instant) {
+        *self = Self { checked, last_failure: None };
     }
 
     /// Records a read of the configuration, or of its changes, that failed.
@@ -51,7 +51,7 @@
         let version = cx.config_version();
         let age_ms = last.elapsed().as_millis();
         tracing::warn!(version, age_ms, why, "config: not known to be the newest");
-        if freshness.wait_for(|f| f.checked != last).await.is_err() {
+        if freshness.wait_for(|f| f.age() < limit).await.is_err() {
             return;
         }
         let (old_version, version) = (version, cx.config_version());
--- a/crates/catkin-node/src/config_watch/mod.rs
+++ b/crates/catkin-node/src/config_watch/mod.rs
@@ -2,8 +2,8 @@
 
 pub mod freshness;
 
-use self::freshness::Freshness;
 use crate::Cx;
+use crate::table::client::Answer;
 use catkin_platform::config::{self, CONFIG_KEY, CONFIG_TABLE, Config};
 use catkin_platform::error::Error;
 use catkin_platform::store::{Key, Row};
@@ -52,8 +52,9 @@
         match result {
             Ok(p) => {
                 position = Some(p);
-                poll_time = LONG_POLL_WAIT;
-                cx.config_freshness.send_modify(Freshness::record_checked);
+                // Changes during a long answer are not waited for: the next poll tells at once whether there are any.
+                let age = cx.config_freshness.borrow().age();
+                poll_time = LONG_POLL_WAIT.saturating_sub(age);
             }
             Err(e @ (Error::HistoryGone | Error::TooLarge(_))) if position.is_some() => {
                 tracing::debug!("config: the changes are not read, but the row: {e}");
@@ -74,11 +75,13 @@
 async fn read_config(cx: &Cx, tx: &watch::Sender<Option<Arc<Config>>>) -> Result<Position, Error> {
     let key =
         Key { table: Cow::Borrowed(CONFIG_TABLE), part: Cow::Borrowed(""), key: CONFIG_KEY.into() };
-    let (row, after) = cx.table.read_with_version(&key, READ_TIMEOUT).await?;
-    let bytes = row.as_ref().map_or(0, value_len);
+    let Answer { rows, began } = cx.table.read_large(&key, READ_TIMEOUT).await?;
+    let (row, after) = (rows.rows.first(), rows.version);
+    let bytes = row.map_or(0, value_len);
     if let Some(row) = row {
-        apply_row(tx, &row);
+        apply_row(tx, row);
     }
+    cx.config_freshness.send_modify(|f| f.record_checked(began));
     Ok(Position { after, bytes })
 }
 
@@ -90,12 +93,14 @@
     poll_time: Duration,
 ) -> Result<Position, Error> {
     let max_bytes = position.max_changes();
-    let rows = cx.table.changes(CONFIG_TABLE, position.after, poll_time, max_bytes).await?;
+    let changes = cx.table.changes(CONFIG_TABLE, position.after, poll_time, max_bytes);
+    let Answer { rows, began } = changes.await?;
     let versions = rows.rows.iter().rev().filter(|r| r.key == CONFIG_KEY);
     if let Some(row) = versions.into_iter().find(|row| apply_row(tx, row)) {
         position.bytes = value_len(row);
     }
     position.after = position.after.max(rows.version);
+    cx.config_freshness.send_modify(|f| f.record_checked(began));
     Ok(position)
 }
 
--- a/crates/catkin-node/src/cx/mod.rs
+++ b/crates/catkin-node/src/cx/mod.rs
@@ -4,7 +4,7 @@
 use crate::leadership::term::Term;
 use crate::metrics::Metrics;
 use crate::owner::Owner;
-use crate::settings::Settings;
+use crate::settings::{Settings, duration_from_ms};
 use crate::table;
 use catkin_peer::PeerClient;
 use catkin_platform::advice::AdviserClient;
@@ -132,6 +132,13 @@
         self.config.borrow().as_ref().map(|c| c.version)
     }
 
+    /// Whether no change can have been missed for longer than changes may take to be in force.
+    #[must_use]
+    pub fn is_config_fresh(&self) -> bool {
+        let limit = duration_from_ms(self.cfg.bounds.config_ms);
+        self.config_freshness.borrow().age() < limit
+    }
+
     /// Records a heartbeat of another daemon.
     pub fn record_peer(&self, addr: SocketAddr) {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner).insert(addr, Instant::now());
--- a/crates/catkin-node/src/gate/mod.rs
+++ b/crates/catkin-node/src/gate/mod.rs
@@ -58,7 +58,11 @@
     let path = req.uri().path().to_owned();
     let host = req.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
     let Some(found) = find_route(&config, host, &path) else {
-        return body::text(404, "no such queue\n");
+        return if cx.is_config_fresh() {
+            body::text(404, "no such queue\n")
+        } else {
+            refused(cx, 503, "no such queue in a configuration that may be old")
+        };
     };
     let deadline = cx.now() + client_timeout(&req).saturating_sub(RESPONSE_MARGIN);
     let method = req.method().clone();
@@ -131,7 +135,7 @@
     if path != client_api::READY_PATH {
         return body::text(404, "nothing here\n");
     }
-    let configured = cx.config.borrow().is_some();
+    let configured = cx.config.borrow().is_some() && cx.is_config_fresh();
     let ready =
         configured && cx.table.since_last_served() < TABLE_SILENCE_LIMIT && !cx.is_draining();
     if ready { body::text(200, "ready\n") } else { body::text(503, "not ready\n") }
--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -24,6 +24,15 @@
     clock: ServiceClock,
 }
 
+/// An answer with rows.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The rows.
+    pub rows: Rows,
+    /// When the answer began to arrive. The rows were the newest ones until then, but for the time that an answer travels.
+    pub began: Instant,
+}
+
 /// A client of the table service.
 #[derive(Debug)]
 pub struct Client {
@@ -85,7 +94,7 @@
     /// # Errors
     /// As [`StoreClient::read`].
     pub async fn read(&self, table: &str, part: &str, from: Option<&str>) -> Result<Rows, Error> {
-        self.read_some(table, part, from, None, Latency::max_timeout()).await
+        Ok(self.read_some(table, part, from, None, Latency::max_timeout()).await?.rows)
     }
 
     /// Reads one row. Returns `None` if it does not exist. `max_wait` limits the whole read.
@@ -93,24 +102,22 @@
     /// # Errors
     /// As [`StoreClient::read`].
     pub async fn read_one(&self, key: &Key, max_wait: Duration) -> Result<Option<Row>, Error> {
-        let read = self.read_with_version(key, max_wait);
+        let read = self.read_large(key, max_wait);
         let out_of_time =
             |_| Error::Unknown(format!("no whole answer within {} ms", max_wait.as_millis()));
-        Ok(tokio::time::timeout(max_wait, read).await.map_err(out_of_time)??.0)
+        let answer = tokio::time::timeout(max_wait, read).await.map_err(out_of_time)??;
+        Ok(answer.rows.rows.into_iter().next())
     }
 
-    /// Reads one row, and the version of the newest transaction of the service. `max_wait` limits the time until the
-    /// answer begins; a large row may take long to arrive.
+    /// Reads one row, which may take long to arrive. `max_wait` limits the time until the answer begins.
     ///
     /// # Errors
     /// As [`StoreClient::read`].
-    pub async fn read_with_version(
-        &self,
-        key: &Key,
-        max_wait: Duration,
-    ) -> Result<(Option<Row>, u64), Error> {
-        let rows = self.read_some(&key.table, &key.part, Some(&key.key), Some(1), max_wait).await?;
-        Ok((rows.rows.into_iter().find(|r| r.key == key.key), rows.version))
+    pub async fn read_large(&self, key: &Key, max_wait: Duration) -> Result<Answer, Error> {
+        let read = self.read_some(&key.table, &key.part, Some(&key.key), Some(1), max_wait);
+        let mut answer = read.await?;
+        answer.rows.rows.retain(|r| r.key == key.key);
+        Ok(answer)
     }
 
     async fn read_some(
@@ -120,14 +127,15 @@
         from: Option<&str>,
         limit: Option<u32>,
         max_wait: Duration,
-    ) -> Result<Rows, Error> {
+    ) -> Result<Answer, Error> {
         let timeout = self.call_timeout();
         let arrival = Arrival::new(self);
         let on_data = || arrival.record();
         let wait = Wait { timeout: timeout.min(max_wait), on_data: &on_data, ..Wait::default() };
         let rows = self.store.read(table, part, from, limit, wait).await;
-        self.record_rows("read", arrival.sent, &arrival, timeout <= max_wait, &rows);
-        rows
+        let began = arrival.began();
+        self.record_rows("read", arrival.sent, began, timeout <= max_wait, &rows);
+        Ok(Answer { rows: rows?, began })
     }
 
     /// Returns the changes of a table after a version. If there are none yet, the service waits up to `wait` for one. The
@@ -141,15 +149,16 @@
         after: u64,
         wait: Duration,
         max_bytes: u64,
-    ) -> Result<Rows, Error> {
+    ) -> Result<Answer, Error> {
         let arrival = Arrival::new(self);
         let on_data = || arrival.record();
         let (timeout, pace) = (self.call_timeout(), Wait::default().pace);
         let answer = Wait { timeout, pace, max_bytes, on_data: &on_data };
         let rows = self.store.poll_changes(table, after, wait, answer).await;
         // The requested wait is not part of the latency.
-        self.record_rows("changes", arrival.sent + wait, &arrival, true, &rows);
-        rows
+        let began = arrival.began();
+        self.record_rows("changes", arrival.sent + wait, began, true, &rows);
+        Ok(Answer { rows: rows?, began })
     }
 
     /// The current timeout of a call.
@@ -210,11 +219,10 @@
         &self,
         call: &str,
         sent: Instant,
-        arrival: &Arrival<'_>,
+        began: Instant,
         full_wait: bool,
         rows: &Result<Rows, Error>,
     ) {
-        let began = arrival.began();
         if let Ok(rows) = rows {
             self.record_clock(rows.clock_ms, sent, began);
         }
--- a/tests/node_path/deployment.rs
+++ b/tests/node_path/deployment.rs
@@ -47,6 +47,11 @@
         self.ports[0].addr()
     }
 
+    /// The address for readiness checks.
+    pub fn ready_addr(&self) -> SocketAddr {
+        self.ports[1].addr()
+    }
+
     /// Starts the daemon. Its log goes to a file or, with `log_stalled`, to a pipe that is never read.
     pub fn spawn(&mut self, log_stalled: bool) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_catkincartd"));
@@ -137,7 +142,7 @@
     /// Waits until every daemon is ready and one owns the cell.
     pub async fn wait_ready(&self) {
         for n in &self.nodes {
-            let addr = n.ports[1].addr();
+            let addr = n.ready_addr();
             let ready = || self.client.send(addr, Method::GET, "/v1/readiness", Vec::new());
             eventually("a daemon is ready", async || ready().await.status == Some(200)).await;
         }
--- a/tests/node_path/slow_link.rs
+++ b/tests/node_path/slow_link.rs
@@ -3,12 +3,16 @@
 use crate::deployment::{Deployment, Node, eventually};
 use catkin_platform_standin::Options;
 use catkin_standin::proxy::ConnectionFault;
+use hyper::Method;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// How long after its acknowledgement a change of the configuration is in force everywhere.
 const CONFIG_BOUND: Duration = Duration::from_secs(4);
 
+/// The path of readiness checks.
+const READY_PATH: &str = "/v1/readiness";
+
 const fn megabits(n: u64) -> u64 {
     n * 1_000_000 / 8
 }
@@ -21,8 +25,8 @@
     d
 }
 
-async fn version_in_force(node: &Node) -> f64 {
-    node.metric("catkin_config_version").await.unwrap_or_default()
+async fn is_in_force(node: &Node, version: u32) -> bool {
+    node.metric("catkin_config_version").await.unwrap_or_default() >= version.into()
 }
 
 /// Writes a version of the configuration, and checks that it is in force within the bound.
@@ -30,7 +34,7 @@
     let written = Instant::now();
     d.platform.write_routes(version.into(), routes);
     let what = format!("version {version} with {routes} routes is in force");
-    eventually(&what, async || version_in_force(&d.nodes[0]).await >= version.into()).await;
+    eventually(&what, async || is_in_force(&d.nodes[0], version).await).await;
     let took = written.elapsed();
     assert!(took <= CONFIG_BOUND, "{what} after {took:?}");
 }
@@ -62,3 +66,31 @@
     check_in_force(&d, 2 + COUNT, ROUTES).await;
     d.stop_and_check().await;
 }
+
+/// A daemon whose configuration was out of date said that it was ready, and that there were no queues of later versions.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_whose_configuration_may_be_old_is_not_ready_and_denies_no_queue() {
+    let d = start_on_link("config-old", megabits(2)).await;
+    let status_of =
+        async |addr, path| d.client.send(addr, Method::GET, path, Vec::new()).await.status;
+    let ready = async || status_of(d.nodes[0].ready_addr(), READY_PATH).await;
+    let unknown = async || status_of(d.nodes[0].client_addr(), "/new/").await;
+    assert_eq!((ready().await, unknown().await), (Some(200), Some(404)));
+    // This takes 6 s to arrive.
+    d.platform.write_routes(2, 5_000);
+    eventually("it is not ready", async || ready().await == Some(503)).await;
+    assert!(!is_in_force(&d.nodes[0], 2).await, "the new version is still arriving");
+    assert_eq!(unknown().await, Some(503));
+    eventually("it is ready again", async || ready().await == Some(200)).await;
+    assert!(is_in_force(&d.nodes[0], 2).await);
+    assert_eq!(unknown().await, Some(404));
+    let lines = d.nodes[0].log_lines();
+    for (message, version) in
+        [("config: not known to be the newest", 1), ("config: known to be the newest again", 2)]
+    {
+        let found: Vec<_> = lines.iter().filter(|l| l["message"] == message).collect();
+        assert_eq!(found.len(), 1, "{message}");
+        assert_eq!(found[0]["version"], version);
+    }
+    d.stop_and_check().await;
+}
