--- a/tests/node_path/slow_link.rs
+++ b/tests/node_path/slow_link.rs
@@ -1,6 +1,8 @@
 //! Daemons whose link to the table service is slow.
 
 use crate::deployment::{Deployment, Node, eventually};
+use catkin_cell::Job;
+use catkin_node::table::accept_changes;
 use catkin_platform_standin::Options;
 use catkin_standin::proxy::ConnectionFault;
 use hyper::Method;
@@ -94,3 +96,29 @@
     }
     d.stop_and_check().await;
 }
+
+/// Pages of jobs that took longer to arrive than a limit on the whole were read again and again, and no owner took over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_on_a_slow_link_reads_large_pages_of_jobs() {
+    const JOBS: u64 = 800;
+    let mut d = Deployment::prepare_proxied("jobs-10", 1, &Options::default()).await;
+    let task = catkin_cell::job::Step { count: 1, estimate_ms: 50, ..Default::default() };
+    let job = Job {
+        queue: "gone".into(),
+        steps: vec![task],
+        spec: "7".repeat(5_000).into(),
+        ..Job::default()
+    };
+    for id in 1..=JOBS {
+        for (key, value) in accept_changes(id, &job).put {
+            d.platform.store.write_value(&key.table, &key.part, &key.key, &value);
+        }
+    }
+    d.links[0].set_fault(ConnectionFault::SlowLink(megabits(10)));
+    d.nodes[0].spawn(false);
+    d.wait_ready().await;
+    let lines = d.nodes[0].log_lines();
+    let read = lines.iter().find(|l| l["message"] == "lead: read").expect("it is logged");
+    assert_eq!(read["jobs"], JOBS);
+    d.shut_down().await;
+}
