Soak: an operator writes configurations of all sizes, and a link may be slow

The operator has random numbers of its own: the faults of the recorded seeds stay what they were. At the end of a seed a version with 4,000 routes has to be in force everywhere within the bound of 4 s.

--- a/tests/node_path/slow_link.rs
+++ b/tests/node_path/slow_link.rs
@@ -4,6 +4,7 @@
 use catkin_cell::Job;
 use catkin_node::table::accept_changes;
 use catkin_platform_standin::Options;
+use catkin_platform_standin::platform::write_routes;
 use catkin_standin::proxy::ConnectionFault;
 use hyper::Method;
 use std::time::Duration;
@@ -34,7 +35,7 @@
 /// Writes a version of the configuration, and checks that it is in force within the bound.
 async fn check_in_force(d: &Deployment, version: u32, routes: usize) {
     let written = Instant::now();
-    d.platform.write_routes(version.into(), routes);
+    write_routes(&d.platform.store, version.into(), routes);
     let what = format!("version {version} with {routes} routes is in force");
     eventually(&what, async || is_in_force(&d.nodes[0], version).await).await;
     let took = written.elapsed();
@@ -62,7 +63,7 @@
     const COUNT: u32 = 12;
     let d = start_on_link("config-storm", megabits(10)).await;
     for version in 2..2 + COUNT {
-        d.platform.write_routes(version.into(), ROUTES);
+        write_routes(&d.platform.store, version.into(), ROUTES);
         tokio::time::sleep(INTERVAL).await;
     }
     check_in_force(&d, 2 + COUNT, ROUTES).await;
@@ -79,7 +80,7 @@
     let unknown = async || status_of(d.nodes[0].client_addr(), "/new/").await;
     assert_eq!((ready().await, unknown().await), (Some(200), Some(404)));
     // This takes 6 s to arrive.
-    d.platform.write_routes(2, 5_000);
+    write_routes(&d.platform.store, 2, 5_000);
     eventually("it is not ready", async || ready().await == Some(503)).await;
     assert!(!is_in_force(&d.nodes[0], 2).await, "the new version is still arriving");
     assert_eq!(unknown().await, Some(503));
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,6 +13,7 @@
 
 mod callers;
 mod faults;
+mod operator;
 
 use catkin_platform_standin::Options;
 use deployment::{Deployment, eventually};
@@ -74,13 +75,14 @@
     d.nodes.iter_mut().for_each(|n| n.spawn(false));
     d.wait_ready().await;
     let callers = callers::start(&d, seed);
+    let operator = operator::start(&d, seed);
     let mut faults = FaultInjector::new(&mut rng);
     faults.inject_for(&mut d, FAULT_DURATION).await;
     faults.clear_all(&mut d);
     d.wait_ready().await;
     let jobs = callers.stop().await;
+    let mut violations = operator.stop_and_check(&d).await;
     // Every accepted job reaches one of its allowed final states, the same at every daemon.
-    let mut violations = Vec::new();
     for (id, allowed_states) in &jobs {
         let mut shown = BTreeSet::new();
         for n in &d.nodes {
