--- a/crates/catkin-node/src/config_watch/mod.rs
+++ b/crates/catkin-node/src/config_watch/mod.rs
@@ -18,8 +18,8 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// The delay after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Changes that take more bytes than the configuration by this many halves hold several versions of it.
-const MAX_CHANGES_HALVES: u64 = 3;
+/// Changes of more than this percentage of the configuration's size hold several versions of it.
+const MAX_CHANGES_PERCENT: u64 = 150;
 /// Changes of fewer bytes are read however many versions they hold.
 const MIN_CHANGES_BYTES: u64 = 128 * 1_024;
 
@@ -36,7 +36,7 @@
     /// Returns the size of an answer, which holds values as base64, above which it is cheaper to read the row.
     fn max_changes(self) -> u64 {
         let encoded = self.bytes as u64 * 4 / 3;
-        (encoded * MAX_CHANGES_HALVES / 2).max(MIN_CHANGES_BYTES)
+        (encoded * MAX_CHANGES_PERCENT / 100).max(MIN_CHANGES_BYTES)
     }
 }
 
--- a/crates/catkin-node/src/owner/feeds.rs
+++ b/crates/catkin-node/src/owner/feeds.rs
@@ -4,7 +4,7 @@
 use super::{Message, OwnerState};
 use crate::cx::Cx;
 use crate::leadership::load;
-use crate::table::client::Answer;
+use crate::table::client::{ANY_SIZE, Answer};
 use crate::table::{self, JOBS, PART_COUNT};
 use crate::worker_entries::{ListUpdate, WorkerEntries};
 use catkin_platform::error::Error;
@@ -43,7 +43,7 @@
             let mut after = after;
             loop {
                 tokio::time::sleep(WORKERS_POLL_INTERVAL).await;
-                match cx.table.changes(worker_list::TABLE, after, Duration::ZERO, u64::MAX).await {
+                match cx.table.changes(worker_list::TABLE, after, Duration::ZERO, ANY_SIZE).await {
                     Ok(Answer { rows, .. }) => {
                         after = after.max(rows.version);
                         send_workers(&myself, entries.read(&rows.rows), false);
@@ -84,7 +84,7 @@
             let mut after = loaded_versions.iter().copied().min().unwrap_or(0);
             loop {
                 tokio::time::sleep(JOBS_POLL_INTERVAL).await;
-                match cx.table.changes(JOBS, after, Duration::ZERO, u64::MAX).await {
+                match cx.table.changes(JOBS, after, Duration::ZERO, ANY_SIZE).await {
                     Ok(Answer { rows, .. }) => {
                         after = after.max(rows.version);
                         send_jobs(&myself, &table::accepted_since(rows.rows, &loaded_versions));
--- a/crates/catkin-node/src/table/client.rs
+++ b/crates/catkin-node/src/table/client.rs
@@ -14,6 +14,9 @@
 /// The metric label of a transaction.
 const COMMIT: &str = "commit";
 
+/// The limit of [`Client::changes`] for changes that are to be read however large they are.
+pub const ANY_SIZE: u64 = u64::MAX;
+
 /// The observed state of the service.
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
