--- /dev/null
+++ b/crates/catkin-cell/src/worker/state.rs
@@ -0,0 +1,206 @@
+//! What the owner knows of a worker, and of its current incarnation.
+
+use super::{Assignment, Phase, UnacknowledgedEnd, Victim, WorkerInfo, millis};
+use crate::task::{StepRef, Task};
+use catkin_place::Host;
+use catkin_types::{Incarnation, Resources};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// What one incarnation of a worker has said to this owner, and what was requested from it. It ends with the incarnation:
+/// the next one has another clock, other leases, and numbers its ends anew.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct IncarnationState {
+    /// Whether the worker has answered a poll, and its tasks are known.
+    pub confirmed: bool,
+    /// The worker's clock, and the owner's time at which it was read.
+    pub clock_reading: Option<(u64, Duration)>,
+    /// The latest end of a lease that was requested, on the worker's clock.
+    pub lease_to_ms: u64,
+    /// When the newest poll was sent that the worker has answered.
+    pub answered_poll_sent_at: Option<Duration>,
+    /// The newest end that was read.
+    pub newest_end: u64,
+    /// The newest end that is durable, with all before it.
+    pub acknowledged: u64,
+    /// The ends after it that were read.
+    pub unacknowledged: VecDeque<UnacknowledgedEnd>,
+}
+
+/// The owner's knowledge of a worker.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Worker {
+    pub info: WorkerInfo,
+    /// The capacity and the reserved resources.
+    pub host: Host,
+    /// The incarnation in the worker's entry in the list; 0 if the entry states none.
+    pub listed_incarnation: Incarnation,
+    /// When the known incarnation became known.
+    pub incarnation_known_at: Duration,
+    /// When the address became known.
+    pub address_known_at: Duration,
+    /// Whether another worker has answered at the address since the worker's entry was last listed.
+    pub replaced: bool,
+    pub missing_since: Option<Duration>,
+    /// Whether the worker was removed from the records of steps, as it is gone.
+    pub forgotten: bool,
+    /// What its current incarnation has said.
+    pub current: IncarnationState,
+    /// When the worker restarted while this owner knew it; the first time if it has restarted again without an answer.
+    /// Calls meant for the earlier incarnation, with times of another clock, may have reached the current one.
+    pub restarted_at: Option<Duration>,
+    pub assignments: BTreeMap<Task, Assignment>,
+    /// The tasks that may have run here when the worker was lost, until it is known whether it crashed.
+    pub victims: Vec<Victim>,
+    /// When the worker was last polled before a trial.
+    pub probed_at: Duration,
+    /// The step whose tasks are tried here: no others are started meanwhile.
+    pub trial: Option<StepRef>,
+    /// When an order to start was last sent.
+    pub start_sent_at: Option<Duration>,
+    /// The number of polls in a row without an answer.
+    pub missed_polls: u32,
+    /// When the first of them was given up.
+    pub silent_since: Option<Duration>,
+    /// The worker declined a start and gets no new tasks until this time.
+    pub paused_until: Duration,
+    /// How often the worker was paused since it last carried out a start.
+    pub pauses: u32,
+}
+
+/// A value of `since` so early that the next order to stop is due at once. Zero stands for an order that was just
+/// issued.
+const RESEND_NOW: Duration = Duration::from_nanos(1);
+/// A worker's clock may be slow by at most this many thousandths.
+const MAX_CLOCK_LAG_PER_MILLE: u32 = 20;
+/// A pause is at most two to the power of this many times the shortest one.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+
+impl Worker {
+    pub(crate) fn free(&self) -> Resources {
+        self.host.free()
+    }
+
+    /// Returns whether the tasks on the worker need more than its capacity, which may have shrunk.
+    pub(crate) fn is_overbooked(&self) -> bool {
+        !self.host.declared.fits(&self.host.capacity)
+    }
+
+    /// Returns when the worker last answered in its current incarnation.
+    pub(crate) fn heard_at(&self) -> Option<Duration> {
+        self.current.clock_reading.map(|(_, at)| at)
+    }
+
+    /// Returns the lowest value that the worker's clock can show at `now`.
+    pub(crate) fn min_clock_ms(&self, now: Duration) -> Option<u64> {
+        let (clock, read_at) = self.current.clock_reading?;
+        let elapsed = now.saturating_sub(read_at);
+        let lag = elapsed * MAX_CLOCK_LAG_PER_MILLE / 1_000;
+        Some(clock.saturating_add(millis(elapsed.saturating_sub(lag))))
+    }
+
+    /// Returns the worker's clock at `now`, assuming that it runs at the same rate as the owner's.
+    pub(crate) fn estimated_clock_ms(&self, now: Duration) -> Option<u64> {
+        let (clock, read_at) = self.current.clock_reading?;
+        Some(clock.saturating_add(millis(now.saturating_sub(read_at))))
+    }
+
+    /// Returns the highest end number that a poll may acknowledge. A worker that has restarted unnoticed may have carried
+    /// out a start since and numbers its ends anew: nothing is acknowledged before a poll was answered that was sent after
+    /// the last start.
+    pub(crate) fn acknowledgement(&self) -> u64 {
+        let is_current = self.current.answered_poll_sent_at > self.start_sent_at;
+        if is_current && self.missed_polls == 0 { self.current.acknowledged } else { 0 }
+    }
+
+    /// Returns whether the worker's entry in the list is one of its current incarnation, as far as both are known.
+    pub(crate) fn is_entry_current(&self) -> bool {
+        let (listed, known) = (self.listed_incarnation, self.info.incarnation);
+        listed == 0 || known == 0 || listed == known
+    }
+
+    pub(crate) fn assign(&mut self, task: Task, assignment: Assignment) {
+        self.host.declared = self.host.declared.saturating_add(&assignment.demand);
+        if let Some(old) = self.assignments.insert(task, assignment) {
+            self.host.declared = self.host.declared.saturating_sub(&old.demand);
+        }
+    }
+
+    pub(crate) fn release(&mut self, task: &Task) -> Option<Assignment> {
+        let assignment = self.assignments.remove(task)?;
+        self.host.declared = self.host.declared.saturating_sub(&assignment.demand);
+        if self.trial == Some(task.step) && self.tasks_of(task.step).next().is_none() {
+            self.trial = None;
+        }
+        Some(assignment)
+    }
+
+    /// Returns whether the worker is known to have run the task for `period`.
+    pub(crate) fn has_run_for(&self, task: &Task, period: Duration) -> bool {
+        let heard_at = self.heard_at().unwrap_or_default();
+        let a = self.assignments.get(task).filter(|a| a.has_run);
+        a.and_then(|a| a.started_at).is_some_and(|at| heard_at.saturating_sub(at) >= period)
+    }
+
+    /// Returns the tasks of a step on the worker.
+    pub(crate) fn tasks_of(&self, r: StepRef) -> impl Iterator<Item = (&Task, &Assignment)> {
+        self.assignments.range(r.task(0)..=r.task(u32::MAX))
+    }
+
+    /// Keeps new tasks from the worker, for twice as long each time it declines one again after a pause. A gang that was
+    /// declined can only try other workers while the pause lasts longer than its members take to stop.
+    pub(crate) fn pause(&mut self, shortest: Duration, now: Duration) {
+        if now < self.paused_until {
+            return;
+        }
+        self.paused_until = now + shortest * 2_u32.pow(self.pauses.min(MAX_PAUSE_DOUBLINGS));
+        self.pauses += 1;
+    }
+
+    /// Applies the worker's entry in the list of workers.
+    pub(crate) fn update_info(&mut self, info: WorkerInfo, now: Duration) {
+        if info.addr != self.info.addr {
+            self.address_known_at = now;
+        }
+        self.replaced = false;
+        self.host.id.clone_from(&info.id);
+        self.host.rack.clone_from(&info.rack);
+        self.host.capacity = info.capacity;
+        self.missing_since = None;
+        self.forgotten = false;
+        self.info = info;
+    }
+
+    /// Resets the state that belonged to an earlier incarnation. Returns the tasks that were lost with it. An order to
+    /// start a task that the earlier incarnation never listed may still reach the new one: such a task is stopped
+    /// there.
+    pub(crate) fn begin_incarnation(
+        &mut self,
+        incarnation: Incarnation,
+        now: Duration,
+    ) -> Vec<Task> {
+        self.info.incarnation = incarnation;
+        self.incarnation_known_at = now;
+        let former = std::mem::take(&mut self.current);
+        // A worker that has not answered since its last restart got no starts and no leases since then.
+        if former.clock_reading.is_some() || self.restarted_at.is_none() {
+            self.restarted_at = Some(now);
+        }
+        let is_lost = |(_, h): &(&Task, &mut Assignment)| h.reported || h.phase == Phase::Reserved;
+        let lost_tasks: Vec<Task> =
+            self.assignments.iter_mut().filter(is_lost).map(|(t, _)| *t).collect();
+        for task in &lost_tasks {
+            self.release(task);
+        }
+        for assignment in self.assignments.values_mut() {
+            assignment.started_at = None;
+            assignment.stop_acked_at = None;
+            assignment.start_by_ms = u64::MAX;
+            if assignment.phase != Phase::Stopping {
+                assignment.phase = Phase::Stopping;
+                assignment.since = RESEND_NOW;
+            }
+        }
+        lost_tasks
+    }
+}
