--- a/crates/catkin-cell/tests/cell/crashes.rs
+++ b/crates/catkin-cell/tests/cell/crashes.rs
@@ -3,9 +3,9 @@
 use crate::fixture::{FIRST_INCARNATION, Fixture};
 use crate::owner::step;
 use crate::world::{Faults, World};
-use catkin_cell::State;
 use catkin_cell::job::Step;
 use catkin_cell::worker::Reply;
+use catkin_cell::{Start, State};
 use catkin_types::JobId;
 use std::time::Duration;
 
@@ -16,6 +16,9 @@
 /// The time within which a task has to be started again once its worker is known to be gone.
 const RESTART_BOUND: Duration = Duration::from_secs(1);
 
+/// Longer than a trial.
+const TRIAL_TIME: Duration = Duration::from_secs(1);
+
 /// Returns a simulation with one job that crashes its workers and others beside it.
 fn world(seed: u64, workers: usize) -> World {
     let mut w = World::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15), workers, false);
@@ -164,6 +167,62 @@
     run_mix(UNCOUNTED_CRASHES_SEED, owner_faults());
 }
 
+/// Returns a cell with one worker, which has crashed once under the only task of job 1, and the order that starts the task
+/// again, on trial.
+fn with_trial() -> (Fixture, Start) {
+    let mut f = Fixture::new(1);
+    f.accept(1, "batch", vec![step(1, 1_000, 60_000)]);
+    f.tick();
+    let starts = f.take_starts();
+    f.reply(&starts, Reply::Done);
+    f.tick();
+    f.report(0, FIRST_INCARNATION, &[(starts[0].task, starts[0].run)]);
+    f.report(0, FIRST_INCARNATION + 1, &[]);
+    f.list_again(0, FIRST_INCARNATION + 1);
+    f.tick();
+    let start = f.take_starts().pop().expect("the task is tried");
+    (f, start)
+}
+
+// A trial passes by time alone while a poll hangs at the worker that has crashed: the task is started beside others again.
+#[test]
+fn trial_passed_by_a_worker_that_was_not_heard_since() {
+    let (mut f, start) = with_trial();
+    f.reply(&[start], Reply::Done);
+    f.accept(2, "batch", vec![step(1, 1_000, 1_000)]);
+    f.run(TRIAL_TIME);
+    assert_eq!(f.take_starts(), Vec::new(), "another task starts beside the one that is tried");
+    f.report(0, FIRST_INCARNATION + 2, &[]);
+    f.tick();
+    assert_eq!(f.cell.state(1), Some(State::Failed), "{:?}", f.cell.explain(1));
+}
+
+#[test]
+fn trial_that_a_worker_has_passed_ends() {
+    let (mut f, start) = with_trial();
+    f.reply(std::slice::from_ref(&start), Reply::Done);
+    f.accept(2, "batch", vec![step(1, 1_000, 1_000)]);
+    f.run(TRIAL_TIME);
+    f.report(0, FIRST_INCARNATION + 1, &[(start.task, start.run)]);
+    f.tick();
+    let started: Vec<JobId> = f.take_starts().iter().map(|s| s.task.step.job).collect();
+    assert_eq!(started, vec![2]);
+}
+
+// An innocent job is given up for an order that did not reach its worker, which was cut off and crashed later.
+#[test]
+fn crash_counted_for_a_start_that_got_no_answer() {
+    let (mut f, start) = with_trial();
+    f.run(TRIAL_TIME);
+    f.reply(&[start], Reply::Unknown);
+    let idx = f.worker(0);
+    f.cell.handle_missed_poll(idx, f.now);
+    f.run(TRIAL_TIME);
+    f.report(0, FIRST_INCARNATION + 2, &[]);
+    f.run(TRIAL_TIME);
+    assert_ne!(f.cell.state(1), Some(State::Failed), "{:?}", f.cell.explain(1));
+}
+
 #[test]
 fn task_held_for_a_lease_after_another_worker_answers_at_the_address() {
     let mut f = Fixture::new(2);
--- a/crates/catkin-cell/tests/cell/fixture.rs
+++ b/crates/catkin-cell/tests/cell/fixture.rs
@@ -81,6 +81,11 @@
         f
     }
 
+    /// Lists worker `n` again, as of this incarnation.
+    pub fn list_again(&mut self, n: usize, incarnation: Incarnation) {
+        self.cell.update_workers(vec![entry(n, incarnation)], true, self.now);
+    }
+
     /// Returns the index of worker `n`.
     pub fn worker(&self, n: usize) -> WorkerIndex {
         self.cell.worker_indices().nth(n).expect("the worker is listed")
