Cell: the record of silent workers names what it means

A field was named after workers that were not heard; it is about workers that are no longer listed. No logic changes.

--- a/crates/catkin-cell/src/cell/silence.rs
+++ b/crates/catkin-cell/src/cell/silence.rs
@@ -33,8 +33,8 @@
     /// Workers that are no longer on record, and the first version without them. A row that names them may still be the
     /// newest one.
     withdrawn: BTreeMap<WorkerId, u64>,
-    /// Whether the workers were put on record that were not heard in this term.
-    unheard_recorded: bool,
+    /// Whether workers of earlier owners that are no longer listed were put on record.
+    unlisted_recorded: bool,
 }
 
 impl Silences {
@@ -53,7 +53,7 @@
         self.recorded.idle_from.iter().filter(move |(_, from)| now > **from).map(|(id, _)| id)
     }
 
-    /// Puts a worker on record. Returns whether there was space for it.
+    /// Puts a worker on record. Returns whether there was room for it.
     fn record(&mut self, id: &WorkerId, idle_from: Duration) -> bool {
         if self.recorded.idle_from.len() >= MAX_RECORDED {
             return false;
@@ -91,7 +91,8 @@
         self.silences.withdrawn.retain(|_, without| *without > version);
     }
 
-    /// Returns whether the owner row may name the worker as silent. A successor then takes nothing to run there.
+    /// Returns whether the owner row may name the worker as silent. A successor then takes it that nothing runs there after
+    /// the time in the row.
     pub(super) fn is_recorded_silent(&self, idx: WorkerIndex) -> bool {
         self.silences.is_bound(&self.worker(idx).info.id)
     }
@@ -108,8 +109,8 @@
         for (id, idle_from) in due {
             self.record_silence(id, idle_from, now);
         }
-        if now >= self.started_at + RECORD_DELAY && !self.silences.unheard_recorded {
-            self.silences.unheard_recorded = true;
+        if now >= self.started_at + RECORD_DELAY && !self.silences.unlisted_recorded {
+            self.silences.unlisted_recorded = true;
             self.record_unlisted_workers(now);
         }
     }
