Owner row: the time that is left is computed in one place

The silent workers of the row had a copy of the conversion that earlier owners' time uses, rounded up to whole milliseconds.

--- a/crates/catkin-node/src/leadership/earlier.rs
+++ b/crates/catkin-node/src/leadership/earlier.rs
@@ -55,7 +55,12 @@
     /// Returns the time that is left at `now`, for the owner row, in whole milliseconds that are not too few.
     #[must_use]
     pub fn left_ms(&self, now: Duration) -> u64 {
-        let left = self.until().saturating_sub(now);
-        u64::try_from(left.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+        millis_left(self.until(), now)
     }
 }
+
+/// Returns the time that is left at `now` until `end`, in whole milliseconds that are not too few.
+pub(super) fn millis_left(end: Duration, now: Duration) -> u64 {
+    let left = end.saturating_sub(now);
+    u64::try_from(left.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+}
--- a/crates/catkin-node/src/leadership/silent.rs
+++ b/crates/catkin-node/src/leadership/silent.rs
@@ -3,6 +3,7 @@
 //! Pure. The row tells how much time is left until nothing runs on a worker, and each owner counts it on its own clock, so
 //! that no two clocks are compared.
 
+use super::earlier::millis_left;
 use catkin_cell::cell::SilentWorkers;
 use catkin_types::WorkerId;
 use std::collections::BTreeMap;
@@ -20,9 +21,5 @@
 /// Returns the time that is left at `now` for each worker, for the owner row, in whole milliseconds that are not too few.
 #[must_use]
 pub fn left_ms(silent: &SilentWorkers, now: Duration) -> BTreeMap<WorkerId, u64> {
-    let left_ms = |idle_from: &Duration| {
-        let left = idle_from.saturating_sub(now);
-        u64::try_from(left.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
-    };
-    silent.idle_from.iter().map(|(id, from)| (id.clone(), left_ms(from))).collect()
+    silent.idle_from.iter().map(|(id, from)| (id.clone(), millis_left(*from, now))).collect()
 }
