--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -18,11 +18,11 @@
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, path] = args.as_slice() else {
-        eprintln!("usage: review-2 CASE RECORD");
+    let [_, case, path, trouble] = args.as_slice() else {
+        eprintln!("usage: review-2 CASE RECORD TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = trouble != "0";
     let Ok(record) = Record::create(Path::new(path)) else { return ExitCode::from(2) };
     record.line(if trouble { "with the disruption" } else { "without the disruption" });
     let outcome = match case.as_str() {
