review: a stale configuration behind silent connections (case 13)

Seen: a daemon whose open connections to the store went silent accepts and runs jobs of a dropped queue for about 9 s after the change was acknowledged (CONFIG).

Cause: the watch of the configuration tries the pooled connections one after the other, each for a timeout that doubles up to 3 s.

--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-3/release/review-standin-3 silent-connections review/13
