Cell: a planned exit of a worker is judged by what the exiting incarnation has said

Cause: `update_worker` took the entry of the next incarnation over, with `draining` false, before `restart_worker` asked `info.draining` whether the former incarnation had crashed. Whether an exit counted as a crash depended on which report came first: the list (counted) or the answer to a poll (not counted). Five counted crashes give a job up, from two on its tasks start on trial only.

Evidence: `planned_exit::job_given_up_after_planned_exits_of_its_workers` plays seven orders of the reports of one exit. Before: each exit counted in the four orders in which the entry comes first (after, without and before the removal, and after the lease ran out), none in the three others (answer first, with and without the removal; another worker at the address).

Why it works: the restart is handled first, by the former incarnation's own entry, and only then is the next one's taken over. That a worker drains holds for the incarnation whose entry says so (`Worker::is_draining`), so that a planned exit does not excuse a crash of the next incarnation.

The same cause on a related path: the tasks of a draining worker that no longer answers were suspected of its crash once their lease was over, and tried alone (`task_suspected_after_a_planned_exit_of_its_worker`, failed before, also with only the first change).

`WorkerRestarted` and its log line say whether the exit was planned, which told the orders apart.

--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -86,24 +86,11 @@
             });
             idx
         };
-        let w = self.worker_mut(idx);
-        let known_incarnation = w.info.incarnation;
-        let incarnation =
-            if known_incarnation == 0 { entry.incarnation } else { known_incarnation };
-        let listed_incarnation = entry.incarnation;
-        let listed_before = std::mem::replace(&mut w.listed_incarnation, listed_incarnation);
-        // The entry of an earlier incarnation may stay listed after the worker has answered in a later one. If the list
-        // named the known one until now, the next one may have a lower number, since wall clocks can go back.
-        let is_news = listed_incarnation != 0 && listed_incarnation != listed_before;
-        let is_later = listed_incarnation > known_incarnation || listed_before == known_incarnation;
-        let restarted = known_incarnation != 0 && is_news && is_later;
-        if incarnation != known_incarnation {
-            w.incarnation_known_at = now;
-        }
-        w.update_info(WorkerInfo { incarnation, ..entry }, now);
-        if restarted {
-            self.restart_worker(idx, listed_incarnation, now);
+        if self.worker(idx).is_listed_anew(entry.incarnation) {
+            // The end of the former incarnation is judged by what it has said itself: its entry is replaced only then.
+            self.restart_worker(idx, entry.incarnation, now);
         }
+        self.worker_mut(idx).update_info(entry, now);
     }
 
     /// Handles the removal of a worker from the list.
@@ -201,17 +188,19 @@
     ) {
         // A worker that has not been heard since its last restart has had no starts since then.
         let was_heard = self.worker(idx).current.clock_reading.is_some();
-        if was_heard && !self.worker(idx).info.draining {
+        let planned = self.worker(idx).is_draining();
+        if was_heard && !planned {
             self.record_crash(idx);
         }
-        self.worker_mut(idx).victims.clear();
         let w = self.worker_mut(idx);
+        w.victims.clear();
         let lost = w.begin_incarnation(incarnation, now);
         let held = w.assignments.len();
         if was_heard {
             self.events.push(Event::WorkerRestarted {
                 worker: idx,
                 incarnation,
+                planned,
                 lost: lost.len(),
                 held,
             });
@@ -310,7 +299,9 @@
         let assignments = self.worker(idx).assignments.iter();
         let lost: Vec<(Task, LossCause)> =
             assignments.filter_map(|(task, a)| Some((*task, cause_of(a)?))).collect();
-        self.suspect_tasks(idx, |a| cause_of(a).is_some());
+        if !self.worker(idx).is_draining() {
+            self.suspect_tasks(idx, |a| cause_of(a).is_some());
+        }
         for (task, cause) in lost {
             self.lose_task(task, idx, cause);
         }
--- a/crates/catkin-cell/src/event.rs
+++ b/crates/catkin-cell/src/event.rs
@@ -97,6 +97,8 @@
         worker: WorkerIndex,
         /// The incarnation that is known now; 0 if another worker answers at its address.
         incarnation: Incarnation,
+        /// Whether the incarnation that has ended had reported that it drains.
+        planned: bool,
         /// The tasks that are lost with it.
         lost: usize,
         /// The tasks whose orders to start got no answer, and which stay assigned until they can't run any more.
--- a/crates/catkin-cell/src/worker/state.rs
+++ b/crates/catkin-cell/src/worker/state.rs
@@ -133,6 +133,21 @@
         listed == 0 || known == 0 || listed == known
     }
 
+    /// Returns whether an entry that states this incarnation is that of a later one than the known one. The entry of an
+    /// earlier incarnation may stay listed after the worker has answered in a later one. If the list named the known one
+    /// until now, the next one may have a lower number, since wall clocks can go back.
+    pub(crate) fn is_listed_anew(&self, incarnation: Incarnation) -> bool {
+        let (listed, known) = (self.listed_incarnation, self.info.incarnation);
+        let is_news = incarnation != 0 && incarnation != listed;
+        let is_later = incarnation > known || listed == known;
+        known != 0 && is_news && is_later
+    }
+
+    /// Returns whether the known incarnation has reported that it drains: it exits as planned.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.info.draining && self.is_entry_current()
+    }
+
     /// Returns whether a call with this token was meant for the known incarnation.
     pub(crate) fn is_current(&self, token: FencingToken) -> bool {
         token >= self.first_token
@@ -187,8 +202,15 @@
         self.pauses += 1;
     }
 
-    /// Applies the worker's entry in the list of workers.
-    pub(crate) fn update_info(&mut self, info: WorkerInfo, now: Duration) {
+    /// Applies the worker's entry in the list of workers. It names the known incarnation only if none was known.
+    pub(crate) fn update_info(&mut self, entry: WorkerInfo, now: Duration) {
+        self.listed_incarnation = entry.incarnation;
+        let known = self.info.incarnation;
+        let incarnation = if known == 0 { entry.incarnation } else { known };
+        if incarnation != known {
+            self.incarnation_known_at = now;
+        }
+        let info = WorkerInfo { incarnation, ..entry };
         if info.addr != self.info.addr {
             self.address_known_at = now;
         }
--- a/crates/catkin-cell/tests/cell/main.rs
+++ b/crates/catkin-cell/tests/cell/main.rs
@@ -14,6 +14,7 @@
 mod kept_room;
 mod liveness;
 mod owner;
+mod planned_exit;
 mod progress;
 mod queued_advice;
 mod quiet;
--- a/crates/catkin-cell/tests/cell/quiet.rs
+++ b/crates/catkin-cell/tests/cell/quiet.rs
@@ -26,6 +26,7 @@
     worker_cut_off: 0,
     worker_crash: 40,
     restart_then_cut: 0,
+    planned_exit: 0,
     clock_back: 300,
     worker_leaves: 20,
     worker_joins: 250,
--- a/crates/catkin-cell/tests/cell/world/faults.rs
+++ b/crates/catkin-cell/tests/cell/world/faults.rs
@@ -34,7 +34,9 @@
     /// A third of the workers restart, some twice. They are back within a second, and unreachable for 5 to 14 s soon
     /// after; each second.
     pub restart_then_cut: u32,
-    /// The wall clock of a worker that crashes goes back, so that its next incarnation has a lower number.
+    /// A worker drains, and restarts under its identifier some seconds later, each second.
+    pub planned_exit: u32,
+    /// The wall clock of a worker that restarts goes back, so that its next incarnation has a lower number.
     pub clock_back: u32,
     /// A worker leaves for good, each second. Some drain first, and the addresses of some are given to others.
     pub worker_leaves: u32,
@@ -133,6 +135,9 @@
         if self.chance(rates.worker_crash) {
             self.restart_worker(n);
         }
+        if self.chance(rates.planned_exit) {
+            self.drain_worker(n);
+        }
         if self.chance(rates.partition) {
             self.trouble[n].partitioned_until = self.outage();
         }
@@ -154,9 +159,14 @@
         self.workers[n].declines_starts = self.trouble[n].declines_until > self.now;
     }
 
-    /// Restarts a worker under its identifier.
-    pub(super) fn restart_worker(&mut self, n: usize) {
+    /// Crashes a worker, which restarts under its identifier.
+    fn restart_worker(&mut self, n: usize) {
         self.count_crash(n);
+        self.begin_next_life(n);
+    }
+
+    /// Starts the next incarnation of a worker.
+    pub(super) fn begin_next_life(&mut self, n: usize) {
         let back = self.chance(self.faults.clock_back);
         let incarnation = self.workers[n].info.incarnation;
         self.workers[n].restart(if back { incarnation - 5 } else { incarnation + 1 }, self.now);
--- a/crates/catkin-cell/tests/cell/world/restarts.rs
+++ b/crates/catkin-cell/tests/cell/world/restarts.rs
@@ -1,11 +1,11 @@
-//! Workers that restart under their identifiers, and are unreachable soon after they are back.
+//! Workers that restart under their identifiers: unexpectedly, and unreachable soon after they are back, or as planned.
 
 use super::World;
 use std::time::Duration;
 
 /// A restarted worker is back sooner, in milliseconds.
 const DOWN_MS: u64 = 1_000;
-/// The entry of its former life is listed for less than this after it is back, in milliseconds.
+/// The entry of its former life is listed for less than this after it is back, or after a planned exit, in milliseconds.
 const LISTED_MS: u64 = 2_000;
 /// A worker restarts again less than this after it is back, in milliseconds.
 const AGAIN_MS: u64 = 2_000;
@@ -16,11 +16,18 @@
 /// For how much longer it is unreachable at most, in milliseconds.
 const CUT_RANGE_MS: u64 = 9_000;
 
+/// How long a worker drains before a planned restart at least.
+const MIN_DRAIN: Duration = Duration::from_secs(3);
+/// For how much longer it drains at most, in milliseconds.
+const DRAIN_RANGE_MS: u64 = 2_000;
+
 /// What is planned for a worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Planned {
     /// It restarts. It is unreachable for the first time, and its former entry is listed for the second one.
     Restart(Duration, Duration),
+    /// It restarts after it has drained, as [`Planned::Restart`] otherwise.
+    Exit(Duration, Duration),
     /// It is unreachable for this time.
     Cut(Duration),
 }
@@ -41,6 +48,18 @@
         }
     }
 
+    /// A worker reports that it drains, and restarts some seconds later.
+    pub(super) fn drain_worker(&mut self, n: usize) {
+        if self.planned.iter().any(|(_, m, _)| *m == n) {
+            return;
+        }
+        self.workers[n].info.draining = true;
+        let exit_at = self.now + MIN_DRAIN + self.random_ms(DRAIN_RANGE_MS);
+        // The entry of the next incarnation may be listed before it is reached.
+        let (down, listed) = (self.random_ms(DOWN_MS), self.random_ms(LISTED_MS));
+        self.planned.push((exit_at, n, Planned::Exit(down, listed)));
+    }
+
     fn plan_restart_and_cut(&mut self, n: usize) {
         let mut back_at = self.plan_restart(n, self.now);
         if self.random().is_multiple_of(4) {
@@ -68,7 +87,11 @@
         let due: Vec<(Duration, usize, Planned)> = due;
         for (_, n, planned) in due {
             match planned {
-                Planned::Restart(down, listed) => self.restart_under_entry(n, down, listed),
+                Planned::Restart(down, listed) => {
+                    self.count_crash(n);
+                    self.restart_under_entry(n, down, listed);
+                }
+                Planned::Exit(down, listed) => self.restart_under_entry(n, down, listed),
                 Planned::Cut(time) => self.trouble[n].partitioned_until = now + time,
             }
         }
@@ -82,7 +105,7 @@
         let entry = self.former_entries.get(&n).filter(|(until, _)| *until > now);
         let entry = entry.map_or(former, |(_, info)| info.clone());
         self.former_entries.insert(n, (now + listed, entry));
-        self.restart_worker(n);
+        self.begin_next_life(n);
         self.trouble[n].partitioned_until = now + down;
     }
 }
--- a/crates/catkin-node/src/owner/report.rs
+++ b/crates/catkin-node/src/owner/report.rs
@@ -121,9 +121,9 @@
             let worker = cell.contact(worker).0;
             tracing::info!(worker, incarnation, token, clock_ms, "owner: first answer of a worker");
         }
-        Event::WorkerRestarted { worker, incarnation, lost, held } => {
+        Event::WorkerRestarted { worker, incarnation, planned, lost, held } => {
             let worker = cell.contact(worker).0;
-            tracing::info!(worker, incarnation, lost, held, "owner: worker restarted");
+            tracing::info!(worker, incarnation, planned, lost, held, "owner: worker restarted");
         }
         Event::CrashedUnderTask { task, run, worker, crashes, given_up } => {
             tracing::info!(
