HTTP client: a request without an answer closes the unused connections to its address

Cause: the client kept up to four unused connections to the store and sent each repeated call over the next of them. Nothing drew from the first silence that the other connections of the same age are suspect.

Why it works: a request that gets no whole answer in time closes all unused connections to its address, so that the next one opens a new one. Requests in progress on other connections keep theirs and find out by themselves. It holds for everything that goes through the client: commits, renewals of the term, polls of and orders to workers, advice, the daemons of `run`. Calls between daemons are not concerned: there is one session to an address, dropped with the first timeout.

A connection that could not be opened in what is left of a request's time is now `NotSent` also where that is shorter than `connect_timeout`.

New: a log line for each connection that was open and got no answer, with the timeout in force, its age, its last answer and the number of those closed; metrics `catkin_http_requests_unanswered` and `catkin_http_connections_opened`. The proxy of the tests can silence the connections that are open.

--- a/crates/catkin-http/src/client/mod.rs
+++ b/crates/catkin-http/src/client/mod.rs
@@ -1,21 +1,30 @@
-//! An HTTP/1 client with a connection pool.
+//! An HTTP/1 client that keeps connections open for further requests.
+//!
+//! A connection can go silent: the other side gets nothing sent over it, and neither side is told. Only a request without
+//! an answer shows it, and what silenced one connection has most likely silenced the others to the same address. So all
+//! unused ones are closed then, and the next request goes over a new one.
+
+mod connection;
+mod pool;
 
 use crate::body::paced::{self, Pace};
 use crate::body::{self, Body};
 use crate::error::Error;
 use bytes::Bytes;
+use connection::{Connection, Failure};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::header::{CONTENT_TYPE, ETAG, HOST, HeaderValue, IF_NONE_MATCH};
+use hyper::http::response;
+use hyper::http::uri::{Authority, PathAndQuery};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use pool::Pool;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
 
 /// The settings of a [`Client`].
 #[derive(Clone, Debug)]
@@ -51,16 +60,33 @@
     pub received: AtomicU64,
     /// Requests, including failed ones.
     pub exchanges: AtomicU64,
+    /// Connections that were opened, for requests of any kind.
+    pub connections: AtomicU64,
+    /// Requests of any kind that were sent and got no whole answer in time.
+    pub unanswered: AtomicU64,
 }
 
 /// An HTTP/1 client. Clones share the connections and the counts.
 #[derive(Clone, Debug)]
 pub struct Client {
     opt: Options,
-    inner: legacy::Client<HttpConnector, Body>,
+    pool: Arc<Pool>,
     traffic: Arc<Traffic>,
 }
 
+/// The time limit of a request.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    timeout: Duration,
+    end: Instant,
+}
+
+impl Limit {
+    fn new(timeout: Duration) -> Self {
+        Self { timeout, end: Instant::now() + timeout }
+    }
+}
+
 impl Default for Client {
     fn default() -> Self {
         Self::new(Options::default())
@@ -71,15 +97,8 @@
     /// Creates a client. It opens connections on demand.
     #[must_use]
     pub fn new(opt: Options) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(opt.connect_timeout));
-        connector.set_nodelay(true);
-        let inner = legacy::Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(opt.idle_timeout)
-            .pool_max_idle_per_host(opt.max_idle_per_host)
-            .build(connector);
-        Self { opt, inner, traffic: Arc::default() }
+        let pool = Pool::new(opt.idle_timeout, opt.max_idle_per_host);
+        Self { opt, pool: Arc::new(pool), traffic: Arc::default() }
     }
 
     /// Returns the counts of requests and of bytes in their bodies.
@@ -97,12 +116,91 @@
         req: Request<Body>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, Error> {
-        match tokio::time::timeout(timeout, self.inner.request(req)).await {
-            Ok(Ok(res)) => Ok(res),
-            Ok(Err(e)) if e.is_connect() => Err(Error::NotSent(e.to_string())),
-            Ok(Err(e)) => Err(Error::Lost(e.to_string())),
-            Err(_) => Err(Error::Lost(format!("no answer within {} ms", timeout.as_millis()))),
+        let (res, mut conn) = self.start(req, Limit::new(timeout)).await?;
+        let pool = Arc::clone(&self.pool);
+        // Ends with the body of the response, which the caller reads or drops.
+        tokio::spawn(async move {
+            if conn.is_reusable().await {
+                pool.put(conn);
+            }
+        });
+        Ok(res)
+    }
+
+    /// Sends a request over a connection that was open, or over a new one if there is none, and returns as soon as the
+    /// head of the response is received.
+    async fn start(
+        &self,
+        req: Request<Body>,
+        limit: Limit,
+    ) -> Result<(Response<Incoming>, Connection), Error> {
+        let (addr, req) = address(req)?;
+        let mut req = Box::new(req);
+        loop {
+            let mut conn = self.connection(&addr, limit).await?;
+            let was_open = conn.unused_since().is_some();
+            match timeout_at(limit.end, conn.send(req)).await {
+                Ok(Ok(res)) => return Ok((res, conn)),
+                // The other side has closed it.
+                Ok(Err(Failure { unsent: Some(unsent), .. })) if was_open => req = unsent,
+                Ok(Err(Failure { why, .. })) => return Err(Error::Lost(why)),
+                Err(_) => {
+                    self.handle_silence(&conn, limit);
+                    let ms = limit.timeout.as_millis();
+                    return Err(Error::Lost(format!("no answer within {ms} ms")));
+                }
+            }
+        }
+    }
+
+    async fn connection(&self, addr: &Authority, limit: Limit) -> Result<Connection, Error> {
+        if let Some(conn) = self.pool.take(addr) {
+            return Ok(conn);
         }
+        let left = limit.end.saturating_duration_since(Instant::now());
+        let conn = Connection::open(addr, left.min(self.opt.connect_timeout)).await?;
+        self.traffic.connections.fetch_add(1, Ordering::Relaxed);
+        Ok(conn)
+    }
+
+    /// Handles that a request got no whole answer over this connection.
+    fn handle_silence(&self, conn: &Connection, limit: Limit) {
+        self.traffic.unanswered.fetch_add(1, Ordering::Relaxed);
+        let (addr, closed) = (conn.addr(), self.pool.close_all(conn.addr()));
+        let (timeout_ms, age_ms) = (limit.timeout.as_millis(), conn.age().as_millis());
+        let Some(unused_since) = conn.unused_since() else {
+            tracing::debug!(%addr, timeout_ms, age_ms, closed, "http: no answer over a new connection");
+            return;
+        };
+        let last_answer_ms = unused_since.elapsed().as_millis();
+        tracing::info!(
+            %addr,
+            timeout_ms,
+            age_ms,
+            last_answer_ms,
+            closed,
+            "http: no answer over a connection that was open, unused ones are closed too"
+        );
+    }
+
+    /// Sends a request and reads the whole response. `timeout` limits the time for all of it.
+    async fn read_whole(
+        &self,
+        req: Request<Body>,
+        timeout: Duration,
+    ) -> Result<(response::Parts, Bytes), Error> {
+        self.traffic.exchanges.fetch_add(1, Ordering::Relaxed);
+        let limit = Limit::new(timeout);
+        let (res, conn) = self.start(req, limit).await?;
+        let (head, body) = res.into_parts();
+        let received = AtomicU64::new(0);
+        let Ok(bytes) = timeout_at(limit.end, self.read_counted(body, &received)).await else {
+            self.handle_silence(&conn, limit);
+            return Err(timed_out(timeout, received.into_inner()));
+        };
+        let bytes = bytes?;
+        self.pool.put(conn);
+        Ok((head, bytes))
     }
 
     /// Sends bytes as JSON and reads the whole response, whatever its status.
@@ -135,18 +233,9 @@
         req: Request<Bytes>,
         timeout: Duration,
     ) -> Result<(u16, Bytes), Error> {
-        let t = &self.traffic;
-        t.sent.fetch_add(req.body().len() as u64, Ordering::Relaxed);
-        t.exchanges.fetch_add(1, Ordering::Relaxed);
-        let req = req.map(body::full);
-        let received = AtomicU64::new(0);
-        let response = async {
-            let res = self.send(req, timeout).await?;
-            let status = res.status().as_u16();
-            Ok((status, self.read_counted(res.into_body(), &received).await?))
-        };
-        let answer = tokio::time::timeout(timeout, response).await;
-        answer.map_err(|_| timed_out(timeout, received.into_inner()))?
+        self.traffic.sent.fetch_add(req.body().len() as u64, Ordering::Relaxed);
+        let (head, bytes) = self.read_whole(req.map(body::full), timeout).await?;
+        Ok((head.status.as_u16(), bytes))
     }
 
     /// Sends a request and reads the whole response, which may be large: after its head, which `timeout` limits, it may
@@ -167,11 +256,17 @@
         let t = &self.traffic;
         t.sent.fetch_add(req.body().len() as u64, Ordering::Relaxed);
         t.exchanges.fetch_add(1, Ordering::Relaxed);
-        let res = self.send(req.map(body::full), timeout).await?;
+        let limit = Limit::new(timeout);
+        let (res, conn) = self.start(req.map(body::full), limit).await?;
         let status = res.status().as_u16();
         let body = self.count(res.into_body());
         let max = max.min(self.opt.max_answer);
-        let bytes = paced::read(body, max, pace, |received| on_data(status, received)).await?;
+        let read = paced::read(body, max, pace, |received| on_data(status, received)).await;
+        if let Err(Error::Lost(_)) = &read {
+            self.handle_silence(&conn, limit);
+        }
+        let bytes = read?;
+        self.pool.put(conn);
         Ok((status, bytes))
     }
 
@@ -219,17 +314,9 @@
             req = req.header(IF_NONE_MATCH, etag);
         }
         let req = req.body(body::empty()).map_err(|e| Error::NotSent(e.to_string()))?;
-        self.traffic.exchanges.fetch_add(1, Ordering::Relaxed);
-        let received = AtomicU64::new(0);
-        let response = async {
-            let res = self.send(req, timeout).await?;
-            let etag = res.headers().get(ETAG).and_then(|t| t.to_str().ok()).map(str::to_owned);
-            let status = res.status();
-            Ok((status, etag, self.read_counted(res.into_body(), &received).await?))
-        };
-        let answer = tokio::time::timeout(timeout, response).await;
-        let (status, etag, bytes) =
-            answer.map_err(|_| timed_out(timeout, received.into_inner()))??;
+        let (head, bytes) = self.read_whole(req, timeout).await?;
+        let status = head.status;
+        let etag = head.headers.get(ETAG).and_then(|t| t.to_str().ok()).map(str::to_owned);
         if status == StatusCode::NOT_MODIFIED {
             return Ok(None);
         }
@@ -274,6 +361,20 @@
     }
 }
 
+/// Returns the address that a request goes to, and the request as it is written to a connection.
+///
+/// # Errors
+/// [`Error::NotSent`] if its URI names no address.
+fn address(mut req: Request<Body>) -> Result<(Authority, Request<Body>), Error> {
+    let invalid = || Error::NotSent(format!("no address in {}", req.uri()));
+    let addr = req.uri().authority().cloned().ok_or_else(invalid)?;
+    let host = HeaderValue::from_str(addr.as_str()).map_err(|e| Error::NotSent(e.to_string()))?;
+    req.headers_mut().entry(HOST).or_insert(host);
+    let path = req.uri().path_and_query().cloned();
+    *req.uri_mut() = Uri::from(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
+    Ok((addr, req))
+}
+
 /// Returns the error for an answer of which this many bytes were received when its time was over.
 fn timed_out(timeout: Duration, received: u64) -> Error {
     let ms = timeout.as_millis();
--- a/crates/catkin-http/tests/http/main.rs
+++ b/crates/catkin-http/tests/http/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the HTTP client and server.
 
+mod client;
 mod paced;
 mod server;
--- a/crates/catkin-node/src/node.rs
+++ b/crates/catkin-node/src/node.rs
@@ -5,10 +5,11 @@
 use crate::settings::{Settings, duration_from_ms};
 use crate::{Error, config_watch, gate, leadership, peers};
 use catkin_cell::worker::millis;
+use catkin_http::client::Traffic;
 use catkin_http::server;
 use error_stack::{Report, ResultExt};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -141,14 +142,23 @@
     }
 }
 
-/// Exports the version of the configuration, its age, and the bytes of the answers that the daemon received.
+/// One of the counts of a client.
+type Count = fn(&Traffic) -> &AtomicU64;
+
+/// Exports the version of the configuration, its age, and what the daemon's own requests have met.
 fn observe(cx: &Cx, http: &catkin_http::Client) {
     let config = cx.config.clone();
     let version = move || config.borrow().as_ref().map_or(0, |c| c.version);
     cx.metrics.observe("catkin_config_version", version);
     let freshness = cx.config_freshness.subscribe();
     cx.metrics.observe("catkin_config_age_ms", move || millis(freshness.borrow().age()));
-    let traffic = Arc::clone(http.traffic());
-    let received = move || traffic.received.load(Ordering::Relaxed);
-    cx.metrics.observe("catkin_received_bytes", received);
+    let counts: [(&str, Count); 3] = [
+        ("catkin_received_bytes", |t| &t.received),
+        ("catkin_http_connections_opened", |t| &t.connections),
+        ("catkin_http_requests_unanswered", |t| &t.unanswered),
+    ];
+    for (name, count) in counts {
+        let traffic = Arc::clone(http.traffic());
+        cx.metrics.observe(name, move || count(&traffic).load(Ordering::Relaxed));
+    }
 }
--- a/crates/catkin-standin/src/proxy.rs
+++ b/crates/catkin-standin/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -42,9 +43,19 @@
 pub struct Proxy {
     addr: SocketAddr,
     fault: watch::Sender<ConnectionFault>,
+    counts: Arc<Counts>,
     task: JoinHandle<()>,
 }
 
+/// The connections through a proxy, numbered from 1 in the order in which they were accepted.
+#[derive(Debug, Default)]
+struct Counts {
+    accepted: AtomicUsize,
+    open: AtomicUsize,
+    /// The last connection over which nothing is forwarded any more; 0 if there is none.
+    last_silent: AtomicUsize,
+}
+
 impl Proxy {
     /// Starts a proxy to `target`.
     ///
@@ -54,8 +65,10 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let addr = listener.local_addr()?;
         let fault = watch::Sender::new(ConnectionFault::None);
-        let task = tokio::spawn(accept_connections(listener, target, fault.subscribe()));
-        Ok(Self { addr, fault, task })
+        let counts = Arc::<Counts>::default();
+        let connections =
+            accept_connections(listener, target, fault.subscribe(), Arc::clone(&counts));
+        Ok(Self { addr, fault, counts, task: tokio::spawn(connections) })
     }
 
     /// The address at which the proxy accepts connections.
@@ -68,6 +81,18 @@
     pub fn set_fault(&self, fault: ConnectionFault) {
         self.fault.send_replace(fault);
     }
+
+    /// The number of open connections.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.counts.open.load(Ordering::SeqCst)
+    }
+
+    /// Discards all further data of the connections that are open now. They stay open, and new ones work.
+    pub fn silence_open_connections(&self) {
+        let accepted = self.counts.accepted.load(Ordering::SeqCst);
+        self.counts.last_silent.store(accepted, Ordering::SeqCst);
+    }
 }
 
 impl Drop for Proxy {
@@ -80,19 +105,31 @@
     listener: TcpListener,
     target: SocketAddr,
     fault: watch::Receiver<ConnectionFault>,
+    counts: Arc<Counts>,
 ) {
     let mut connections = JoinSet::new();
     let link = Arc::new(Link::default());
     loop {
         while connections.try_join_next().is_some() {}
         let Ok((incoming, _)) = listener.accept().await else { continue };
-        connections.spawn(proxy_connection(incoming, target, fault.clone(), Arc::clone(&link)));
+        let number = counts.accepted.fetch_add(1, Ordering::SeqCst) + 1;
+        let connection = proxy_connection(
+            incoming,
+            target,
+            number,
+            Arc::clone(&counts),
+            fault.clone(),
+            Arc::clone(&link),
+        );
+        connections.spawn(connection);
     }
 }
 
 async fn proxy_connection(
     client: TcpStream,
     target: SocketAddr,
+    number: usize,
+    counts: Arc<Counts>,
     fault: watch::Receiver<ConnectionFault>,
     link: Arc<Link>,
 ) {
@@ -104,11 +141,14 @@
     let (client_reader, client_writer) = client.into_split();
     let (server_reader, server_writer) = server.into_split();
     let fault = Arc::new(fault);
+    let is_silent = || number <= counts.last_silent.load(Ordering::SeqCst);
+    counts.open.fetch_add(1, Ordering::SeqCst);
     tokio::select! {
-        () = forward(client_reader, server_writer, &fault, None) => {}
-        () = forward(server_reader, client_writer, &fault, Some(&link)) => {}
+        () = forward(client_reader, server_writer, &fault, &is_silent, None) => {}
+        () = forward(server_reader, client_writer, &fault, &is_silent, Some(&link)) => {}
         () = wait_for_reset(fault.as_ref().clone()) => {}
     }
+    counts.open.fetch_sub(1, Ordering::SeqCst);
 }
 
 /// Returns once the active fault is [`ConnectionFault::Reset`].
@@ -145,6 +185,7 @@
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
     fault: &watch::Receiver<ConnectionFault>,
+    is_silent: &(impl Fn() -> bool + Sync),
     link: Option<&Link>,
 ) {
     let blocking_fault =
@@ -154,7 +195,8 @@
     loop {
         let Ok(n @ 1..) = reader.read(&mut buf).await else { return };
         let current = *fault.borrow();
-        blocked |= current == ConnectionFault::NoTraffic || current == blocking_fault;
+        let is_blocking = current == ConnectionFault::NoTraffic || current == blocking_fault;
+        blocked |= is_blocking || is_silent();
         if blocked {
             continue;
         }
--- a/tests/node_path/main.rs
+++ b/tests/node_path/main.rs
@@ -17,6 +17,7 @@
 mod refused;
 mod restart;
 mod silent;
+mod silent_connections;
 mod slow_link;
 mod unnotified;
 mod unreadable;
