Cell: an entry that the list names late is no restart

`review_fix::entry_of_an_earlier_incarnation_with_a_higher_number` failed before and leaves KNOWN-RED.txt.

Cause: an entry with a higher number than the known incarnation counted as a restart also while the list had not come as far as the known one. It names incarnations in their order, so all that it names before the known one ended earlier.

Why it works: an entry is that of a later incarnation only if the list named the known one until then. If the list skips the known one, which then has had no tasks of ours (`is_entry_current`), the answer to the next poll shows the later one.

--- a/crates/catkin-cell/src/worker/state.rs
+++ b/crates/catkin-cell/src/worker/state.rs
@@ -133,14 +133,12 @@
         listed == 0 || known == 0 || listed == known
     }
 
-    /// Returns whether an entry that states this incarnation is that of a later one than the known one. The entry of an
-    /// earlier incarnation may stay listed after the worker has answered in a later one. If the list named the known one
-    /// until now, the next one may have a lower number, since wall clocks can go back.
+    /// Returns whether an entry that states this incarnation is that of a later one than the known one. It is if the list
+    /// named the known one until now. If not, the worker has answered before its entry was read, and the list may still
+    /// name all incarnations before it, also with higher numbers, since wall clocks can go back.
     pub(crate) fn is_listed_anew(&self, incarnation: Incarnation) -> bool {
         let (listed, known) = (self.listed_incarnation, self.info.incarnation);
-        let is_news = incarnation != 0 && incarnation != listed;
-        let is_later = incarnation > known || listed == known;
-        known != 0 && is_news && is_later
+        known != 0 && listed == known && incarnation != 0 && incarnation != known
     }
 
     /// Returns whether the known incarnation has reported that it drains: it exits as planned.
