Cell: a crash that was a planned exit is taken back when the report of it is read

If the owner can't read the list while a worker drains (the store turns it away for over 3 s) but polls the worker, the next incarnation answers first, and the exit counts as a crash; five of them give a job up, and its tasks are tried alone before.

Cause: the verdict was final with the first report that arrived.

What changed: the owner remembers the last counted crash of each worker, with the incarnation that ended and the tasks it was counted for, until the list names another incarnation. If the list says first that the ended incarnation drains, the crash is taken back (`Cell::retract_crash`, a log line).

Evidence: with `is_announced_late` never true, the order `AnswerBeforeDrainReport` fails `job_given_up_after_planned_exits_of_its_workers` (exit 1 counted) and `task_suspected_after_a_planned_exit_of_its_worker`; both pass with it.

Judging each crash only after the next read of the list would delay the restart of each task that is lost with a worker by up to 0.6 s.

--- a/crates/catkin-cell/src/cell/crashes.rs
+++ b/crates/catkin-cell/src/cell/crashes.rs
@@ -9,7 +9,7 @@
 use crate::event::Event;
 use crate::job::State;
 use crate::task::{StepRef, Task};
-use crate::worker::{Assignment, Receipt, Victim, WorkerIndex};
+use crate::worker::{Assignment, CountedCrash, Receipt, Victim, WorkerIndex};
 use std::time::Duration;
 
 /// A task is a suspect if its worker crashed within this time after its start.
@@ -30,15 +30,16 @@
     pub(super) fn record_crash(&mut self, idx: WorkerIndex) {
         self.suspect_tasks(idx, |_| true);
         let victims = std::mem::take(&mut self.worker_mut(idx).victims);
+        let mut counted = Vec::new();
         for v in &victims {
             let is_only_fresh = v.is_fresh && self.is_only_fresh(v, &victims);
             let is_likely = v.receipt == Receipt::Probable && (v.on_trial || is_only_fresh);
             if !(v.receipt == Receipt::Certain || is_likely) {
                 continue;
             }
-            let is_blamed = v.on_trial || v.is_fresh;
             let Some(t) = self.task_mut(v.task).filter(|t| !t.done) else { continue };
-            if is_blamed {
+            counted.push(*v);
+            if v.is_blamed() {
                 t.crashes.blamed = t.crashes.blamed.saturating_add(1);
             } else {
                 t.crashes.beside = t.crashes.beside.saturating_add(1);
@@ -55,6 +56,24 @@
             let (task, run, worker, crashes) = (v.task, v.run, idx, crashes.total());
             self.events.push(Event::CrashedUnderTask { task, run, worker, crashes, given_up });
         }
+        let w = self.worker_mut(idx);
+        let incarnation = w.info.incarnation;
+        w.counted_crash = Some(CountedCrash { incarnation, victims: counted });
+    }
+
+    /// Handles that the last crash of a worker was a planned exit. A job that was given up for it stays so.
+    pub(super) fn retract_crash(&mut self, idx: WorkerIndex) {
+        let counted = self.worker_mut(idx).counted_crash.take();
+        for v in counted.into_iter().flat_map(|c| c.victims) {
+            let Some(t) = self.task_mut(v.task).filter(|t| !t.done) else { continue };
+            let count = &mut t.crashes;
+            let kind = if v.is_blamed() { &mut count.blamed } else { &mut count.beside };
+            *kind = kind.saturating_sub(1);
+            let crashes = count.total();
+            t.suspect &= crashes > 0;
+            self.mark_dirty(v.task.step.job);
+            self.events.push(Event::CrashRetracted { task: v.task, worker: idx, crashes });
+        }
     }
 
     /// Records those of the `lost` tasks that may run on a worker that is lost. Those that have just started are suspects. A
--- a/crates/catkin-cell/src/event.rs
+++ b/crates/catkin-cell/src/event.rs
@@ -117,6 +117,15 @@
         /// Whether the job of the task is given up for it.
         given_up: bool,
     },
+    /// A crash was no crash: the worker had reported that it drains, and the report was read only now.
+    CrashRetracted {
+        /// The task for which the crash was counted.
+        task: Task,
+        /// The worker that has exited.
+        worker: WorkerIndex,
+        /// How many workers have crashed under the task, without this one.
+        crashes: u32,
+    },
     /// A gang was given up because not all members started in time.
     GangGivenUp(StepRef),
     /// A job ended. The end is not durable yet.
--- a/crates/catkin-cell/src/worker/assignment.rs
+++ b/crates/catkin-cell/src/worker/assignment.rs
@@ -1,7 +1,7 @@
 //! Tasks that take room on a worker, and what is left of them when the worker is lost.
 
 use crate::task::Task;
-use catkin_types::{JobId, Resources};
+use catkin_types::{Incarnation, JobId, Resources};
 use std::time::Duration;
 
 /// The phase of an assignment.
@@ -66,6 +66,21 @@
     pub on_trial: bool,
 }
 
+impl Victim {
+    /// Returns whether the task may have caused the crash.
+    pub(crate) fn is_blamed(&self) -> bool {
+        self.on_trial || self.is_fresh
+    }
+}
+
+/// A crash of a worker, and the tasks for which it was counted.
+#[derive(Clone, Debug)]
+pub(crate) struct CountedCrash {
+    /// The incarnation that ended.
+    pub incarnation: Incarnation,
+    pub victims: Vec<Victim>,
+}
+
 /// An end that has not been acknowledged, and the version of its job that has to be durable before it may be.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UnacknowledgedEnd {
--- a/crates/catkin-cell/src/worker/mod.rs
+++ b/crates/catkin-cell/src/worker/mod.rs
@@ -5,7 +5,7 @@
 mod report;
 mod state;
 
-pub(crate) use assignment::{Assignment, Phase, Receipt, UnacknowledgedEnd, Victim};
+pub(crate) use assignment::{Assignment, CountedCrash, Phase, Receipt, UnacknowledgedEnd, Victim};
 pub use index::WorkerIndex;
 pub(crate) use index::WorkerSet;
 pub use report::{EndReason, Reply, RunningTask, TaskEnd, WorkerInfo, WorkerReport};
--- a/crates/catkin-cell/src/worker/state.rs
+++ b/crates/catkin-cell/src/worker/state.rs
@@ -1,6 +1,6 @@
 //! What the owner knows of a worker, and of its current incarnation.
 
-use super::{Assignment, Phase, UnacknowledgedEnd, Victim, WorkerInfo, millis};
+use super::{Assignment, CountedCrash, Phase, UnacknowledgedEnd, Victim, WorkerInfo, millis};
 use crate::fence;
 use crate::task::{StepRef, Task};
 use catkin_place::Host;
@@ -61,6 +61,8 @@
     pub assignments: BTreeMap<Task, Assignment>,
     /// The tasks that may have run here when the worker was lost, until it is known whether it crashed.
     pub victims: Vec<Victim>,
+    /// The last crash, while the list may still name the incarnation that ended, and say that it drains.
+    pub counted_crash: Option<CountedCrash>,
     /// When the worker was last polled before a trial.
     pub probed_at: Duration,
     /// The step whose tasks are tried here: no others are started meanwhile.
@@ -141,6 +143,13 @@
         known != 0 && listed == known && incarnation != 0 && incarnation != known
     }
 
+    /// Returns whether the exit that an entry announces was taken for a crash, as a later incarnation has answered before
+    /// the entry was read.
+    pub(crate) fn is_announced_late(&self, entry: &WorkerInfo) -> bool {
+        let ended = self.counted_crash.as_ref().map(|c| c.incarnation);
+        entry.draining && ended == Some(entry.incarnation)
+    }
+
     /// Returns whether the known incarnation has reported that it drains: it exits as planned.
     pub(crate) fn is_draining(&self) -> bool {
         self.info.draining && self.is_entry_current()
@@ -203,6 +212,7 @@
     /// Applies the worker's entry in the list of workers. It names the known incarnation only if none was known.
     pub(crate) fn update_info(&mut self, entry: WorkerInfo, now: Duration) {
         self.listed_incarnation = entry.incarnation;
+        self.counted_crash.take_if(|c| c.incarnation != entry.incarnation);
         let known = self.info.incarnation;
         let incarnation = if known == 0 { entry.incarnation } else { known };
         if incarnation != known {
--- a/crates/catkin-cell/tests/cell/planned_exit.rs
+++ b/crates/catkin-cell/tests/cell/planned_exit.rs
@@ -30,9 +30,11 @@
     AnswerAfterRemoval,
     EntryAfterLeaseExpired,
     EntryAfterOtherWorkerAtAddress,
+    /// The list is not read while the worker drains.
+    AnswerBeforeDrainReport,
 }
 
-const ORDERS: [Order; 7] = [
+const ORDERS: [Order; 8] = [
     Order::EntryAfterRemoval,
     Order::EntryWithoutRemoval,
     Order::EntryBeforeRemoval,
@@ -40,6 +42,7 @@
     Order::AnswerAfterRemoval,
     Order::EntryAfterLeaseExpired,
     Order::EntryAfterOtherWorkerAtAddress,
+    Order::AnswerBeforeDrainReport,
 ];
 
 /// A cell with one worker and a job of one task, which has just started there.
@@ -64,8 +67,14 @@
         self.f.report(0, self.incarnation, &[(first_task(1), run)]);
     }
 
-    /// The worker reports in the list that it drains.
-    fn drain(&mut self) {
+    /// The worker reports in the list that it drains, which is read at once in most orders.
+    fn drain(&mut self, order: Order) {
+        if !matches!(order, Order::AnswerBeforeDrainReport) {
+            self.read_drain_report();
+        }
+    }
+
+    fn read_drain_report(&mut self) {
         let entry = WorkerInfo { draining: true, ..entry(0, self.incarnation) };
         self.f.cell.update_workers(vec![entry], true, self.f.now);
         self.f.tick();
@@ -112,6 +121,13 @@
                 self.f.run(LEASE_OVER);
                 self.f.list_again(0, next);
             }
+            Order::AnswerBeforeDrainReport => {
+                self.f.report(0, next, &[]);
+                self.f.tick();
+                self.read_drain_report();
+                self.remove();
+                self.f.list_again(0, next);
+            }
             Order::EntryAfterOtherWorkerAtAddress => {
                 let idx = self.f.worker(0);
                 self.f.be_refused(idx);
@@ -129,13 +145,17 @@
         self.f.take_starts()
     }
 
-    /// Returns the jobs of which tasks were counted as on a worker that crashed.
+    /// Returns the jobs of which tasks are counted as on a worker that crashed, since the last call.
     fn jobs_with_crashes(&mut self) -> Vec<JobId> {
-        let events = self.f.cell.take_events().into_iter();
-        let job = |e: Event| {
-            if let Event::CrashedUnderTask { task, .. } = e { Some(task.step.job) } else { None }
-        };
-        events.filter_map(job).collect()
+        let mut jobs = Vec::new();
+        for event in self.f.cell.take_events() {
+            match event {
+                Event::CrashedUnderTask { task, .. } => jobs.push(task.step.job),
+                Event::CrashRetracted { task, .. } => jobs.retain(|job| *job != task.step.job),
+                _ => {}
+            }
+        }
+        jobs
     }
 }
 
@@ -149,7 +169,7 @@
             s.report_running();
             s.f.run(SECOND);
             s.report_running();
-            s.drain();
+            s.drain(order);
             let mut starts = s.come_back(order);
             let why = s.f.cell.explain(1);
             assert_eq!(s.jobs_with_crashes(), Vec::<JobId>::new(), "{order:?}, exit {exit}");
@@ -167,7 +187,7 @@
     for order in ORDERS {
         let mut s = Scene::new();
         s.report_running();
-        s.drain();
+        s.drain(order);
         let starts = s.come_back(order);
         s.f.reply(&starts, Reply::Done);
         s.f.accept(2, "batch", vec![step(1, 1_000, 1_000)]);
@@ -183,7 +203,7 @@
     for order in ORDERS {
         let mut s = Scene::new();
         s.report_running();
-        s.drain();
+        s.drain(order);
         let starts = s.come_back(order);
         s.start = starts.into_iter().next_back().expect("the task starts again");
         s.f.reply(std::slice::from_ref(&s.start), Reply::Done);
@@ -200,7 +220,7 @@
     for order in [Order::EntryAfterRemoval, Order::EntryWithoutRemoval, Order::AnswerBeforeEntry] {
         let mut s = Scene::new();
         s.report_running();
-        s.drain();
+        s.drain(order);
         s.f.list_again(0, FIRST_INCARNATION);
         s.come_back(order);
         assert_eq!(s.jobs_with_crashes(), [1], "{order:?}");
@@ -228,3 +248,17 @@
         assert_eq!(failed, Vec::new(), "seed {seed}");
     }
 }
+
+// A job is given up for good when the exit is taken for the last crash that it takes, here one under a task on trial.
+#[test]
+fn job_given_up_for_an_exit_whose_report_is_read_late() {
+    let mut s = Scene::new();
+    s.report_running();
+    let starts = s.come_back(Order::AnswerBeforeEntry);
+    assert_eq!(s.jobs_with_crashes(), [1], "the first worker has crashed");
+    s.start = starts.into_iter().next_back().expect("the task is tried");
+    s.f.reply(std::slice::from_ref(&s.start), Reply::Done);
+    s.report_running();
+    s.come_back(Order::AnswerBeforeDrainReport);
+    assert_ne!(s.f.cell.state(1), Some(State::Failed), "{:?}", s.f.cell.explain(1));
+}
--- a/crates/catkin-node/src/owner/report.rs
+++ b/crates/catkin-node/src/owner/report.rs
@@ -137,6 +137,16 @@
                 "owner: worker crashed under task"
             );
         }
+        Event::CrashRetracted { task, worker, crashes } => {
+            tracing::info!(
+                job = job(task.step),
+                step = task.step.step,
+                index = task.index,
+                worker = cell.contact(worker).0,
+                crashes,
+                "owner: the exit of a worker was planned, no crash"
+            );
+        }
         Event::GangGivenUp(step) => {
             tracing::info!(job = job(step), step = step.step, "owner: gang given up");
         }
