--- a/crates/catkin-cell/src/cell/workers.rs
+++ b/crates/catkin-cell/src/cell/workers.rs
@@ -86,10 +86,10 @@
             });
             idx
         };
-        if self.worker(idx).is_announced_late(&entry) {
+        if self.worker(idx).is_exit_counted(&entry) {
             self.retract_crash(idx);
         }
-        if self.worker(idx).is_listed_anew(entry.incarnation) {
+        if self.worker(idx).is_later_incarnation(entry.incarnation) {
             // The end of the former incarnation is judged by what it has said itself: its entry is replaced only then.
             self.restart_worker(idx, entry.incarnation, now);
         }
--- a/crates/catkin-cell/src/worker/state.rs
+++ b/crates/catkin-cell/src/worker/state.rs
@@ -138,14 +138,14 @@
     /// Returns whether an entry that states this incarnation is that of a later one than the known one. It is if the list
     /// named the known one until now. If not, the worker has answered before its entry was read, and the list may still
     /// name all incarnations before it, also with higher numbers, since wall clocks can go back.
-    pub(crate) fn is_listed_anew(&self, incarnation: Incarnation) -> bool {
+    pub(crate) fn is_later_incarnation(&self, incarnation: Incarnation) -> bool {
         let (listed, known) = (self.listed_incarnation, self.info.incarnation);
         known != 0 && listed == known && incarnation != 0 && incarnation != known
     }
 
     /// Returns whether the exit that an entry announces was taken for a crash, as a later incarnation has answered before
     /// the entry was read.
-    pub(crate) fn is_announced_late(&self, entry: &WorkerInfo) -> bool {
+    pub(crate) fn is_exit_counted(&self, entry: &WorkerInfo) -> bool {
         let ended = self.counted_crash.as_ref().map(|c| c.incarnation);
         entry.draining && ended == Some(entry.incarnation)
     }
--- a/crates/catkin-http/src/client/connection.rs
+++ b/crates/catkin-http/src/client/connection.rs
@@ -41,7 +41,9 @@
     /// # Errors
     /// [`Error::NotSent`] if there is none after `timeout`.
     pub(super) async fn open(addr: &Authority, timeout: Duration) -> Result<Self, Error> {
-        let connect = TcpStream::connect((addr.host(), addr.port_u16().unwrap_or(DEFAULT_PORT)));
+        // An IPv6 address stands in brackets.
+        let host = addr.host().trim_matches(['[', ']']);
+        let connect = TcpStream::connect((host, addr.port_u16().unwrap_or(DEFAULT_PORT)));
         let connected = tokio::time::timeout(timeout, connect).await;
         let no_connection = |why: &dyn Display| Error::NotSent(format!("connect to {addr}: {why}"));
         let stream = connected.map_err(|e| no_connection(&e))?.map_err(|e| no_connection(&e))?;
