--- a/crates/catkin-cell/tests/cell/planned_exit.rs
+++ b/crates/catkin-cell/tests/cell/planned_exit.rs
@@ -145,6 +145,17 @@
         self.f.take_starts()
     }
 
+    /// The worker drains and exits, and the task starts again on its next incarnation.
+    fn exit(&mut self, order: Order) {
+        self.report_running();
+        self.drain(order);
+        let starts = self.come_back(order);
+        let why = self.f.cell.explain(1);
+        let start = starts.into_iter().next_back();
+        self.start = start.unwrap_or_else(|| panic!("{order:?}: {why:?}"));
+        self.f.reply(std::slice::from_ref(&self.start), Reply::Done);
+    }
+
     /// Returns the jobs of which tasks are counted as on a worker that crashed, since the last call.
     fn jobs_with_crashes(&mut self) -> Vec<JobId> {
         let mut jobs = Vec::new();
@@ -168,14 +179,9 @@
         for exit in 1..=EXITS {
             s.report_running();
             s.f.run(SECOND);
-            s.report_running();
-            s.drain(order);
-            let mut starts = s.come_back(order);
-            let why = s.f.cell.explain(1);
+            s.exit(order);
             assert_eq!(s.jobs_with_crashes(), Vec::<JobId>::new(), "{order:?}, exit {exit}");
-            assert_ne!(s.f.cell.state(1), Some(State::Failed), "{order:?}, exit {exit}: {why:?}");
-            s.start = starts.pop().unwrap_or_else(|| panic!("{order:?}, exit {exit}: {why:?}"));
-            s.f.reply(std::slice::from_ref(&s.start), Reply::Done);
+            assert_ne!(s.f.cell.state(1), Some(State::Failed), "{order:?}, exit {exit}");
         }
     }
 }
@@ -186,10 +192,7 @@
 fn task_suspected_after_a_planned_exit_of_its_worker() {
     for order in ORDERS {
         let mut s = Scene::new();
-        s.report_running();
-        s.drain(order);
-        let starts = s.come_back(order);
-        s.f.reply(&starts, Reply::Done);
+        s.exit(order);
         s.f.accept(2, "batch", vec![step(1, 1_000, 1_000)]);
         s.f.tick();
         let started: Vec<JobId> = s.f.take_starts().iter().map(|s| s.task.step.job).collect();
@@ -202,11 +205,7 @@
 fn crash_not_counted_after_a_planned_exit_of_the_incarnation_before() {
     for order in ORDERS {
         let mut s = Scene::new();
-        s.report_running();
-        s.drain(order);
-        let starts = s.come_back(order);
-        s.start = starts.into_iter().next_back().expect("the task starts again");
-        s.f.reply(std::slice::from_ref(&s.start), Reply::Done);
+        s.exit(order);
         s.report_running();
         s.jobs_with_crashes();
         s.come_back(Order::AnswerBeforeEntry);
